Write down the design and the contracts of the decision packages

Cause: the repository is empty and several people build on it at once. Change: docs/design.md, the kernel (clock, group, registry, random source), the values that travel with a call, and stubs that fix the names of the decision packages. Conclusion: packages can be filled in independently behind these names.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Everything here needs only Go and make.
+GO ?= go
+BIN := bin
+
+.PHONY: build format lint test demo bench clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+format:
+	$(GO) tool goimports -w -local lovagelane $$(git ls-files '*.go')
+
+lint:
+	@out=$$($(GO) tool goimports -l -local lovagelane $$(git ls-files '*.go')); \
+	if [ -n "$$out" ]; then echo "run make format, these files are not formatted:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test:
+	$(GO) test -timeout 280s ./...
+
+demo: build
+	$(BIN)/demo
+
+bench: build
+	$(BIN)/bench
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/call/meta.go
@@ -0,0 +1,168 @@
+package call
+
+import (
+	"encoding/base64"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+)
+
+const (
+	// MetaVersion is the version of Meta and AnswerMeta that this code writes and reads.
+	MetaVersion = 1
+	// MaxDepth is the deepest call chain that is carried.
+	MaxDepth = 32
+	// maxHeader bounds an encoded header, in bytes.
+	maxHeader = 4096
+	// maxRemaining bounds the time that a header may claim is left for a call.
+	maxRemaining = time.Hour
+)
+
+// ErrMeta is the class of errors for a malformed header between nodes.
+var ErrMeta = errs.Class("call header")
+
+// Attempt names one try of a call: the sender's and the receiver's incarnations and a number that grows for that pair.
+type Attempt struct {
+	Sender   string `cbor:"1,keyasint"`
+	Receiver string `cbor:"2,keyasint"`
+	Seq      uint64 `cbor:"3,keyasint"`
+}
+
+// Meta is what a node sends with a call to another node.
+type Meta struct {
+	Version       uint8    `cbor:"1,keyasint"`
+	RequestID     string   `cbor:"2,keyasint"`
+	Attempt       Attempt  `cbor:"3,keyasint"`
+	Operation     string   `cbor:"4,keyasint"`
+	Priority      Priority `cbor:"5,keyasint"`
+	RemainingMS   uint32   `cbor:"6,keyasint"`
+	Allowance     uint8    `cbor:"7,keyasint"`
+	Depth         uint8    `cbor:"8,keyasint"`
+	Crashes       uint8    `cbor:"9,keyasint"`
+	NonIdempotent bool     `cbor:"10,keyasint,omitempty"`
+	Digest        uint64   `cbor:"11,keyasint"`
+	Region        string   `cbor:"12,keyasint"`
+	Caller        string   `cbor:"13,keyasint"`
+	// Rule is the file and line that the class came from.
+	Rule string `cbor:"14,keyasint"`
+}
+
+// Remaining returns the time left for the call when it was sent.
+func (m Meta) Remaining() time.Duration { return time.Duration(m.RemainingMS) * time.Millisecond }
+
+// Load is a backend server's state as its node sees it.
+type Load struct {
+	InFlight uint16 `cbor:"1,keyasint"`
+	Limit    uint16 `cbor:"2,keyasint"`
+	Queued   uint16 `cbor:"3,keyasint"`
+}
+
+// AnswerMeta is what a node sends back with the answer to a call.
+type AnswerMeta struct {
+	Version   uint8   `cbor:"1,keyasint"`
+	Outcome   Outcome `cbor:"2,keyasint"`
+	Reason    Reason  `cbor:"3,keyasint,omitempty"`
+	Rule      string  `cbor:"4,keyasint,omitempty"`
+	Allowance uint8   `cbor:"5,keyasint"`
+	// Level is the most restrictive admission level met by the call and all calls below it.
+	Level     Priority `cbor:"6,keyasint"`
+	Load      Load     `cbor:"7,keyasint"`
+	Crashes   uint8    `cbor:"8,keyasint,omitempty"`
+	ServiceUS uint32   `cbor:"9,keyasint"`
+	// OwnLevel is the admission level of the answering node alone.
+	OwnLevel Priority `cbor:"10,keyasint"`
+}
+
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1024, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the header value for m.
+func (m Meta) Encode() string {
+	m.Version = MetaVersion
+	return encode(m)
+}
+
+// DecodeMeta reads a header value and checks every field.
+func DecodeMeta(header []byte) (Meta, error) {
+	var m Meta
+	if err := decode(header, &m); err != nil {
+		return Meta{}, err
+	}
+	switch {
+	case m.Version != MetaVersion:
+		return Meta{}, ErrMeta.New("version %d: this node speaks version %d, upgrade the older node", m.Version, MetaVersion)
+	case m.Priority.Rank > MaxRank:
+		return Meta{}, ErrMeta.New("class rank %d is above %d", m.Priority.Rank, MaxRank)
+	case m.Depth > MaxDepth:
+		return Meta{}, ErrMeta.New("depth %d is above %d: look for a loop in the call graph", m.Depth, MaxDepth)
+	case m.Remaining() > maxRemaining:
+		return Meta{}, ErrMeta.New("remaining time %s is above %s", m.Remaining(), maxRemaining)
+	case m.Attempt.Sender == "" || m.Attempt.Receiver == "":
+		return Meta{}, ErrMeta.New("the attempt has no sender or receiver")
+	}
+	return m, nil
+}
+
+// Encode returns the header value for a.
+func (a AnswerMeta) Encode() string {
+	a.Version = MetaVersion
+	return encode(a)
+}
+
+// DecodeAnswerMeta reads a header value and checks every field.
+func DecodeAnswerMeta(header []byte) (AnswerMeta, error) {
+	var a AnswerMeta
+	if err := decode(header, &a); err != nil {
+		return AnswerMeta{}, err
+	}
+	if a.Version != MetaVersion {
+		return AnswerMeta{}, ErrMeta.New("version %d: this node speaks version %d, upgrade the older node", a.Version, MetaVersion)
+	}
+	if a.Outcome > OutcomeRan || a.Level.Rank > MaxRank || a.OwnLevel.Rank > MaxRank {
+		return AnswerMeta{}, ErrMeta.New("the outcome or the level is out of range")
+	}
+	return a, nil
+}
+
+func encode(v any) string {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err) // The types above always encode.
+	}
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+func decode(header []byte, v any) error {
+	if len(header) == 0 || len(header) > maxHeader {
+		return ErrMeta.New("%d bytes, expected 1 to %d", len(header), maxHeader)
+	}
+	b := make([]byte, base64.RawURLEncoding.DecodedLen(len(header)))
+	n, err := base64.RawURLEncoding.Decode(b, header)
+	if err != nil {
+		return ErrMeta.Wrap(err)
+	}
+	if err := decoder.Unmarshal(b[:n], v); err != nil {
+		return ErrMeta.Wrap(err)
+	}
+	return nil
+}
+
+// Digest identifies a request by its content.
+func Digest(method, target string, body []byte) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(method)
+	_, _ = h.WriteString("\n")
+	_, _ = h.WriteString(target)
+	_, _ = h.WriteString("\n")
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
--- /dev/null
+++ b/call/outcome.go
@@ -0,0 +1,98 @@
+package call
+
+import "fmt"
+
+// Outcome says whether a call ran on a backend server.
+type Outcome uint8
+
+const (
+	// OutcomeUnknown means that the call may or may not have run.
+	OutcomeUnknown Outcome = iota
+	// OutcomeNotRun means that the call did not run and never will.
+	OutcomeNotRun
+	// OutcomeRan means that a backend server answered the call.
+	OutcomeRan
+)
+
+// String returns the outcome as it is written in headers.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNotRun:
+		return "not-run"
+	case OutcomeRan:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// Reason is the typed cause of a refusal, as written in headers, logs and metrics.
+type Reason string
+
+const (
+	// ReasonNone marks a call that was not refused.
+	ReasonNone Reason = ""
+	// ReasonShed means that the priority is below the admission level.
+	ReasonShed Reason = "shed"
+	// ReasonQueueFull means that more important calls fill the queue.
+	ReasonQueueFull Reason = "queue-full"
+	// ReasonDeadline means that the call cannot finish, or did not finish, before its deadline.
+	ReasonDeadline Reason = "deadline"
+	// ReasonCancelled means that the caller gave up.
+	ReasonCancelled Reason = "cancelled"
+	// ReasonDraining means that the backend server is leaving.
+	ReasonDraining Reason = "draining"
+	// ReasonNoBackendServer means that no backend server of the service can be reached.
+	ReasonNoBackendServer Reason = "no-backend-server"
+	// ReasonBackendFailed means that the backend server broke the connection or did not answer.
+	ReasonBackendFailed Reason = "backend-failed"
+	// ReasonNoConfiguration means that the node has no configuration in force yet.
+	ReasonNoConfiguration Reason = "no-configuration"
+	// ReasonUnknownService means that the inventory has no such service.
+	ReasonUnknownService Reason = "unknown-service"
+	// ReasonRetriesSpent means that the request has used its whole retry bound.
+	ReasonRetriesSpent Reason = "retries-spent"
+	// ReasonTicketRequired means that a non-idempotent request came without a ticket.
+	ReasonTicketRequired Reason = "ticket-required"
+	// ReasonTicketInvalid means that the ticket is malformed, forged, or for another service or request.
+	ReasonTicketInvalid Reason = "ticket-invalid"
+	// ReasonTicketExpired means that the ticket is older than its lifetime.
+	ReasonTicketExpired Reason = "ticket-expired"
+	// ReasonOwnerGone means that the node that issued the ticket cannot be reached.
+	ReasonOwnerGone Reason = "owner-gone"
+	// ReasonQuarantined means that the request crashed backend servers before.
+	ReasonQuarantined Reason = "quarantined"
+	// ReasonFenced means that the attempt was fenced off before it arrived.
+	ReasonFenced Reason = "fenced"
+	// ReasonBodyTooLarge means that the body exceeds the limit.
+	ReasonBodyTooLarge Reason = "body-too-large"
+	// ReasonBodyTooSlow means that the body did not arrive in time.
+	ReasonBodyTooSlow Reason = "body-too-slow"
+	// ReasonTooDeep means that the call chain is deeper than MaxDepth.
+	ReasonTooDeep Reason = "too-deep"
+	// ReasonBadRequest means that a header or the path is malformed.
+	ReasonBadRequest Reason = "bad-request"
+	// ReasonBusy means that a table of the node that bounds its memory is full.
+	ReasonBusy Reason = "busy"
+)
+
+// Refusal is the error for a call that got no answer from a backend server.
+type Refusal struct {
+	Reason  Reason
+	Outcome Outcome
+	// Rule is the file and line of the inventory or rules that the limit or class came from, or "learned".
+	Rule string
+	// Remedy tells the caller or operator what to do.
+	Remedy string
+}
+
+// Error returns the reason, the outcome, the rule and the remedy on one line.
+func (r Refusal) Error() string {
+	return fmt.Sprintf("refused: reason=%s outcome=%s rule=%q: %s", r.Reason, r.Outcome, r.Rule, r.Remedy)
+}
+
+// WithRule returns the refusal with the rule set.
+func (r Refusal) WithRule(rule string) Refusal {
+	r.Rule = rule
+	return r
+}
--- /dev/null
+++ b/kernel/group.go
@@ -0,0 +1,93 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"golang.org/x/sync/errgroup"
+)
+
+// Group runs the long-lived goroutines of one component and stops them together.
+type Group struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	eg     *errgroup.Group
+}
+
+// NewGroup returns a group whose context ends with ctx, on Stop, or when one of its goroutines fails.
+func NewGroup(ctx context.Context) *Group {
+	ctx, cancel := context.WithCancel(ctx)
+	eg, ctx := errgroup.WithContext(ctx)
+	return &Group{ctx: ctx, cancel: cancel, eg: eg}
+}
+
+// Context returns the context that the group's goroutines run under.
+func (g *Group) Context() context.Context { return g.ctx }
+
+// Go starts f and turns a panic in it into an error that names the goroutine.
+func (g *Group) Go(name string, f func(ctx context.Context) error) {
+	g.eg.Go(func() (err error) {
+		defer func() {
+			if r := recover(); r != nil {
+				err = fmt.Errorf("goroutine %s panicked: %v\n%s", name, r, debug.Stack())
+			}
+		}()
+		return f(g.ctx)
+	})
+}
+
+// Every starts a goroutine that calls f at each interval until the group stops; jitter in [0,1) shortens each wait by a
+// random part so that many processes do not act together.
+func (g *Group) Every(name string, interval time.Duration, jitter float64, r *Rand, f func(ctx context.Context)) {
+	g.Go(name, func(ctx context.Context) error {
+		timer := time.NewTimer(r.Jitter(interval, jitter))
+		defer timer.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-timer.C:
+				f(ctx)
+				timer.Reset(r.Jitter(interval, jitter))
+			}
+		}
+	})
+}
+
+// Stop cancels the group's context and waits for its goroutines.
+func (g *Group) Stop() error {
+	g.cancel()
+	return g.Wait()
+}
+
+// Wait waits for the group's goroutines and returns the first error other than cancellation.
+func (g *Group) Wait() error {
+	err := g.eg.Wait()
+	g.cancel()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Pool is a bounded set of workers for short tasks.
+type Pool struct {
+	pool pond.Pool
+}
+
+// NewPool returns a pool with at most workers goroutines and at most queue waiting tasks.
+func NewPool(workers, queue int) *Pool {
+	return &Pool{pool: pond.NewPool(workers, pond.WithQueueSize(queue), pond.WithNonBlocking(true))}
+}
+
+// Submit runs task on a worker and reports false when the queue is full.
+func (p *Pool) Submit(task func()) bool {
+	return p.pool.Go(task) == nil
+}
+
+// Stop waits for the tasks that were accepted and ends the workers.
+func (p *Pool) Stop() { p.pool.StopAndWait() }
--- /dev/null
+++ b/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine recognises requests that crash the backend servers that run them. It does no I/O.
+package quarantine
