Add the node's data path

Cause: the decision packages need a process that carries real calls. Change: listeners for callers, own backend server, other nodes and operators; carrying with retries, hedges, cancellation and questions about silent attempts; tickets and their owners; drain; crash notes.

--- a/call/meta.go
+++ b/call/meta.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -166,3 +167,6 @@
 	_, _ = h.Write(body)
 	return h.Sum64()
 }
+
+// DigestKey returns a digest as a key for tables that are keyed by text.
+func DigestKey(digest uint64) string { return strconv.FormatUint(digest, 16) }
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lovagelane/call"
+	"lovagelane/membership"
+)
+
+const (
+	pathVersion = "/lovagelane/version"
+	pathNotice  = "/lovagelane/notice"
+	// drainTimeout bounds how long an operator's drain request waits for calls in flight.
+	drainTimeout = 5 * time.Minute
+)
+
+// Status is what a node tells operators.
+type Status struct {
+	Member               membership.Member   `json:"member"`
+	Addresses            Addresses           `json:"addresses"`
+	ConfigurationVersion uint64              `json:"configuration-version"`
+	Draining             bool                `json:"draining"`
+	BackendServerUp      bool                `json:"backend-server-up"`
+	InFlight             int                 `json:"in-flight"`
+	Level                string              `json:"admission-level"`
+	Load                 call.Load           `json:"load"`
+	Members              []membership.Member `json:"members"`
+}
+
+// Status returns the node's state.
+func (n *Node) Status() Status {
+	level, load := n.gate.report()
+	s := Status{Member: n.self, Addresses: n.addresses, Draining: n.draining.Load(), BackendServerUp: n.backend.isUp(),
+		InFlight: n.flights.count(), Level: level.String(), Load: load, Members: []membership.Member{}}
+	if cfg := n.config.Load(); cfg != nil {
+		s.ConfigurationVersion = cfg.Version()
+	}
+	switch {
+	case s.Draining:
+		s.Member.State = membership.StateDraining
+	case s.BackendServerUp:
+		s.Member.State = membership.StateServing
+	}
+	for _, m := range *n.members.Load() {
+		s.Members = append(s.Members, m)
+	}
+	return s
+}
+
+// handleAdmin serves operators on the admin listener.
+func (n *Node) handleAdmin(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/status":
+		writeJSON(ctx, n.Status())
+	case "/debug/vars":
+		ctx.SetContentType("application/json")
+		ctx.SetBodyString(n.metrics.Var().String())
+	case "/drain":
+		n.handleDrain(ctx)
+	default:
+		ctx.Error("unknown path: use /status, /debug/vars, /burn or /drain", fasthttp.StatusNotFound)
+	}
+}
+
+func (n *Node) handleDrain(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		ctx.Error("drain changes state: use POST", fasthttp.StatusMethodNotAllowed)
+		return
+	}
+	wait, cancel := context.WithTimeout(n.group.Context(), drainTimeout)
+	defer cancel()
+	if err := n.Drain(wait); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusConflict)
+		return
+	}
+	writeJSON(ctx, n.Status())
+}
+
+// writeVersion tells the configuration version in force.
+func (n *Node) writeVersion(ctx *fasthttp.RequestCtx) {
+	version := uint64(0)
+	if cfg := n.config.Load(); cfg != nil {
+		version = cfg.Version()
+	}
+	writeJSON(ctx, map[string]uint64{"configuration-version": version})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
--- /dev/null
+++ b/node/backend.go
@@ -0,0 +1,172 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lovagelane/membership"
+)
+
+const (
+	// dialTimeout bounds a connection attempt; a new connection costs about 1 ms.
+	dialTimeout = 500 * time.Millisecond
+	// backendIdle is how long a connection to the backend server may be idle; it is short so that the backend server does
+	// not close a connection at the moment when a call is sent on it.
+	backendIdle = 4 * time.Second
+	// healthTimeout bounds a health check.
+	healthTimeout = 2 * time.Second
+)
+
+// errDial marks an attempt that never reached the other end.
+var errDial = errors.New("no connection")
+
+// dial opens a TCP connection and marks a failure as errDial.
+func dial(address string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, errors.Join(errDial, err)
+	}
+	return conn, nil
+}
+
+// newClient returns an HTTP client for one address that never resends by itself.
+func newClient(address string, connect func(string) (net.Conn, error), idle time.Duration) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr: address, Dial: connect, MaxIdleConnDuration: idle, MaxIdemponentCallAttempts: 1, MaxConns: workers,
+		StreamResponseBody: true, DisablePathNormalizing: true, DisableHeaderNamesNormalizing: false,
+		NoDefaultUserAgentHeader: true, ReadBufferSize: maxHeaders, MaxResponseBodySize: bufferedBody,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+}
+
+// backend is the own backend server.
+type backend struct {
+	address string
+	client  atomic.Pointer[fasthttp.HostClient]
+
+	mu          sync.Mutex
+	connections int
+	crashes     uint64
+	up          bool
+}
+
+func newBackend(address string) *backend {
+	b := &backend{address: address}
+	b.client.Store(newClient(address, dial, backendIdle))
+	return b
+}
+
+// setConnections bounds the connections by what the inventory states.
+func (b *backend) setConnections(slots, connections int) {
+	limit := slots
+	if connections > 0 && (limit <= 0 || connections < limit) {
+		limit = connections
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if limit <= 0 || limit == b.connections {
+		return
+	}
+	b.connections = limit
+	client := newClient(b.address, dial, backendIdle)
+	// One connection more than slots carries health checks and cancellations.
+	client.MaxConns = limit + 1
+	client.MaxConnWaitTimeout = dialTimeout
+	b.client.Store(client)
+}
+
+// crashed records that the backend server process is gone and reports whether this is the first call to notice.
+func (b *backend) crashed() (uint64, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.up {
+		return b.crashes, false
+	}
+	b.up = false
+	b.crashes++
+	return b.crashes, true
+}
+
+func (b *backend) setUp(up bool) (changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed = b.up != up
+	b.up = up
+	return changed
+}
+
+func (b *backend) isUp() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.up
+}
+
+// gone reports whether the backend server refuses connections, as it does when its process has ended.
+func (b *backend) gone() bool {
+	conn, err := net.DialTimeout("tcp", b.address, dialTimeout)
+	if err != nil {
+		return true
+	}
+	_ = conn.Close()
+	return false
+}
+
+// healthy asks the backend server's health endpoint.
+func (b *backend) healthy() bool {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + b.address + "/health")
+	err := b.client.Load().DoTimeout(req, resp, healthTimeout)
+	_ = resp.CloseBodyStream()
+	return err == nil && resp.StatusCode() == fasthttp.StatusOK
+}
+
+// cancel tells the backend server that the caller of a call gave up.
+func (b *backend) cancel(flightContext string) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + b.address + "/lovagelane/cancel")
+	req.Header.Set(headerContext, flightContext)
+	_ = b.client.Load().DoTimeout(req, resp, healthTimeout)
+	_ = resp.CloseBodyStream()
+}
+
+// checkHealth announces whether the own backend server takes calls.
+func (n *Node) checkHealth(context.Context) {
+	up := n.backend.healthy()
+	if !n.backend.setUp(up) || n.draining.Load() {
+		return
+	}
+	state := membership.StateStarting
+	if up {
+		state = membership.StateServing
+	}
+	n.control.SetState(state)
+	n.log.Info("backend-server-state", "state", state)
+}
+
+// noteCrash marks the digests that were running when the backend server's process ended.
+func (n *Node) noteCrash() {
+	if !n.backend.gone() {
+		return
+	}
+	number, first := n.backend.crashed()
+	if !first {
+		return
+	}
+	digests := n.flights.runningDigests()
+	reports := n.poison.crashed(n.clock.Now(), crashID(n.self.ID, number), digests)
+	n.log.Warn("backend-server-crashed", "in-flight", len(digests), "suspects", len(reports))
+	n.metrics.Add("backend-server-crashes", 1)
+	n.control.SetState(membership.StateStarting)
+	n.control.SpreadCrash(reports)
+}
--- /dev/null
+++ b/node/chooser.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"lovagelane/balance"
+	"lovagelane/membership"
+	"lovagelane/retry"
+)
+
+// chooser makes the choice among one service's backend servers safe for concurrent use.
+type chooser struct {
+	mu     sync.Mutex
+	choice *balance.Chooser
+	hedges retry.Hedges
+	token  uint64
+}
+
+func (c *chooser) choose(now time.Time, q balance.Query) (balance.Choice, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	choice := c.choice.Choose(now, q)
+	chosen, ok := choice.(balance.Chosen)
+	if !ok {
+		return choice, 0
+	}
+	c.token++
+	c.choice.Started(now, chosen.ID, c.token)
+	return choice, c.token
+}
+
+func (c *chooser) finished(now time.Time, id string, token uint64, r balance.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.choice.Finished(now, id, token, r)
+}
+
+func (c *chooser) hedgeDelay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.choice.HedgeDelay()
+}
+
+func (c *chooser) called() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hedges.Called()
+}
+
+func (c *chooser) takeHedge() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hedges.Take()
+}
+
+// choosers holds a chooser for each service that this node calls.
+type choosers struct {
+	mu        sync.Mutex
+	policy    string
+	home      balance.Place
+	byService map[string]*chooser
+}
+
+func (t *choosers) setHome(home balance.Place) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.home != home {
+		t.home = home
+		// The tiers of all candidates change with the home; what was learned of them is learned again.
+		t.byService = nil
+	}
+}
+
+// get returns the chooser of a service and makes it on the first call.
+func (t *choosers) get(n *Node, service string) (*chooser, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c, ok := t.byService[service]; ok {
+		return c, nil
+	}
+	choice, err := balance.New(balance.Config{Policy: t.policy, Home: t.home}, n.rand)
+	if err != nil {
+		return nil, err
+	}
+	if t.byService == nil {
+		t.byService = map[string]*chooser{}
+	}
+	c := &chooser{choice: choice}
+	t.byService[service] = c
+	c.choice.Update(n.clock.Now(), n.candidates(service, *n.members.Load()))
+	return c, nil
+}
+
+// update gives every chooser the candidates of a new view.
+func (t *choosers) update(n *Node, members map[string]membership.Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for service, c := range t.byService {
+		candidates := n.candidates(service, members)
+		c.mu.Lock()
+		c.choice.Update(n.clock.Now(), candidates)
+		c.mu.Unlock()
+	}
+}
+
+// candidates lists the members that serve a service, with the own node.
+func (n *Node) candidates(service string, members map[string]membership.Member) []balance.Candidate {
+	var list []balance.Candidate
+	for _, m := range members {
+		if m.Service == service && m.State == membership.StateServing {
+			list = append(list, n.candidate(m))
+		}
+	}
+	if n.self.Service == service && n.backend.isUp() && !n.draining.Load() {
+		list = append(list, n.candidate(n.self))
+	}
+	return list
+}
+
+func (n *Node) candidate(m membership.Member) balance.Candidate {
+	region := m.Region
+	if cfg := n.config.Load(); cfg != nil {
+		region, _ = cfg.Region(m.AvailabilityZone)
+	}
+	return balance.Candidate{ID: m.ID, Slots: m.Slots, Suspected: m.Suspected,
+		Place: balance.Place{Region: region, AvailabilityZone: m.AvailabilityZone}}
+}
--- /dev/null
+++ b/node/disconnect.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// disconnectInterval is the period at which the connections of waiting callers are checked.
+const disconnectInterval = 25 * time.Millisecond
+
+// disconnects notices callers that closed their connection while they waited for an answer.
+type disconnects struct {
+	mu      sync.Mutex
+	next    uint64
+	waiting map[uint64]*waitingCaller
+}
+
+type waitingCaller struct {
+	conn syscall.RawConn
+	gone chan struct{}
+}
+
+// add watches a connection until stop is called; the channel is closed when the other end has closed it.
+func (d *disconnects) add(conn net.Conn) (gone <-chan struct{}, stop func()) {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil, func() {}
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil, func() {}
+	}
+	w := &waitingCaller{conn: raw, gone: make(chan struct{})}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.waiting == nil {
+		d.waiting = map[uint64]*waitingCaller{}
+	}
+	d.next++
+	id := d.next
+	d.waiting[id] = w
+	return w.gone, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.waiting, id)
+	}
+}
+
+// check looks at every watched connection without reading from it.
+func (d *disconnects) check() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, w := range d.waiting {
+		if closed(w.conn) {
+			close(w.gone)
+			delete(d.waiting, id)
+		}
+	}
+}
+
+// closed peeks at a socket: no byte and no error means that the other end has closed it.
+func closed(conn syscall.RawConn) bool {
+	gone := false
+	err := conn.Control(func(fd uintptr) {
+		var b [1]byte
+		count, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		gone = (err == nil && count == 0) || err == unix.ECONNRESET
+	})
+	return gone || err != nil
+}
--- /dev/null
+++ b/node/refusal.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"lovagelane/call"
+)
+
+// remedies tell a caller what to do about a refusal.
+var remedies = map[call.Reason]string{
+	call.ReasonShed:            "send it again later: more important requests fill the capacity",
+	call.ReasonQueueFull:       "send it again later: more important requests fill the queue",
+	call.ReasonDeadline:        "allow more time, or send it again later",
+	call.ReasonCancelled:       "nothing to do: the caller gave up",
+	call.ReasonDraining:        "send it to another node: this one is leaving",
+	call.ReasonNoBackendServer: "send it again later: no backend server of the service can be reached",
+	call.ReasonBackendFailed:   "check with the service whether it ran before sending it again",
+	call.ReasonNoConfiguration: "send it to another node: this one has no configuration yet",
+	call.ReasonUnknownService:  "use a service of the inventory as the first part of the path",
+	call.ReasonRetriesSpent:    "start a new request: this one has used all its retries",
+	call.ReasonTicketRequired:  "send the same request again with the Lovagelane-Ticket header of this answer",
+	call.ReasonTicketInvalid:   "take a new ticket: send the request without Lovagelane-Ticket",
+	call.ReasonTicketExpired:   "check with the service whether it ran, then take a new ticket",
+	call.ReasonOwnerGone:       "check with the service whether it ran before ordering again: the node that knew is gone",
+	call.ReasonQuarantined:     "do not send this request again: it crashed backend servers",
+	call.ReasonFenced:          "nothing to do: the attempt was given up before it arrived",
+	call.ReasonBodyTooLarge:    "send a smaller body, or raise max-body of the service",
+	call.ReasonBodyTooSlow:     "send the body faster, or over a better connection",
+	call.ReasonTooDeep:         "look for a loop in the call graph",
+	call.ReasonBadRequest:      "correct the request",
+	call.ReasonBusy:            "send it again later: a table of this node is full",
+}
+
+// statuses are the HTTP statuses of refusals; a reason that is missing here is answered 503.
+var statuses = map[call.Reason]int{
+	call.ReasonUnknownService: fasthttp.StatusNotFound,
+	call.ReasonTicketRequired: fasthttp.StatusPreconditionRequired,
+	call.ReasonTicketInvalid:  fasthttp.StatusBadRequest,
+	call.ReasonTicketExpired:  fasthttp.StatusConflict,
+	call.ReasonQuarantined:    fasthttp.StatusUnprocessableEntity,
+	call.ReasonBodyTooLarge:   fasthttp.StatusRequestEntityTooLarge,
+	call.ReasonBodyTooSlow:    fasthttp.StatusRequestTimeout,
+	call.ReasonTooDeep:        fasthttp.StatusLoopDetected,
+	call.ReasonBadRequest:     fasthttp.StatusBadRequest,
+	call.ReasonRetriesSpent:   fasthttp.StatusTooManyRequests,
+	call.ReasonDeadline:       fasthttp.StatusGatewayTimeout,
+	call.ReasonBackendFailed:  fasthttp.StatusBadGateway,
+	call.ReasonCancelled:      499,
+}
+
+// refusalBody is the JSON body of a refusal.
+type refusalBody struct {
+	Reason  call.Reason `json:"reason"`
+	Outcome string      `json:"outcome"`
+	Rule    string      `json:"rule"`
+	Remedy  string      `json:"remedy"`
+}
+
+// writeRefusal answers a caller with a refusal.
+func writeRefusal(ctx *fasthttp.RequestCtx, r call.Refusal) {
+	status, ok := statuses[r.Reason]
+	if !ok {
+		status = fasthttp.StatusServiceUnavailable
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+	}
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(status)
+	ctx.Response.Header.Set(headerOutcome, r.Outcome.String())
+	ctx.Response.Header.Set(headerReason, string(r.Reason))
+	if r.Rule != "" {
+		ctx.Response.Header.Set(headerRule, r.Rule)
+	}
+	body, err := json.Marshal(refusalBody{Reason: r.Reason, Outcome: r.Outcome.String(), Rule: r.Rule, Remedy: r.Remedy})
+	if err != nil {
+		ctx.Error(r.Error(), status)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
