--- a/retry/account.go
+++ b/retry/account.go
@@ -34,9 +34,12 @@
 	return share
 }
 
-// Return gives back the unused part of a share; more than the share that was given is ignored.
+// Return gives back the unused part of a share, once for each Share. An answer that claims more than the share is false, so
+// the share counts as used.
 func (a *Account) Return(share, unused int) {
-	a.left += max(0, min(share, unused))
+	if unused > 0 && unused <= share {
+		a.left += unused
+	}
 }
 
 // ForResend returns the account of the n-th resend (0 is the first send), and false when the request has used its bound.
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -1,13 +1,33 @@
 package ticket
 
 import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"sync"
 	"time"
 
-	"lovagelane/call"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
 )
 
-// Lifetime is how long a ticket may be used after it was issued.
-const Lifetime = 10 * time.Minute
+const (
+	// Lifetime is how long a ticket may be used after it was issued.
+	Lifetime = 10 * time.Minute
+	// MaxToken bounds a ticket in the form that callers send back, in bytes.
+	MaxToken = 1024
+	// version is the version of the form that this code writes and reads.
+	version = 1
+)
+
+var (
+	// ErrOversized is the class of errors for tickets longer than MaxToken.
+	ErrOversized = errs.Class("oversized ticket")
+	// ErrMalformed is the class of errors for tickets that cannot be read.
+	ErrMalformed = errs.Class("malformed ticket")
+	// ErrForged is the class of errors for tickets that were not issued under the deployment's ticket key.
+	ErrForged = errs.Class("forged ticket")
+)
 
 // Ticket binds a request to the incarnation of the node that issued it.
 type Ticket struct {
@@ -20,63 +40,114 @@
 	Service  string `cbor:"5,keyasint"`
 }
 
-// Issuer issues and verifies tickets.
-type Issuer struct{}
-
-// NewIssuer returns an issuer for the node with this member id and calls address, under the deployment's ticket key.
-func NewIssuer(key []byte, owner, address string, start time.Time) *Issuer { return &Issuer{} }
+// token is the signed form of a ticket. The payload stays encoded so that the MAC covers the bytes that were sent.
+type token struct {
+	Version uint8  `cbor:"1,keyasint"`
+	Payload []byte `cbor:"2,keyasint"`
+	MAC     []byte `cbor:"3,keyasint"`
+}
 
-// Issue returns a new ticket for a request to the service, in the form that callers send back.
-func (i *Issuer) Issue(now time.Time, service string) string { return "" }
+var (
+	decoder  = mustDecoder()
+	encoding = base64.RawURLEncoding.Strict()
+)
 
-// Parse verifies a ticket's MAC and form; any node of the deployment can do so.
-func (i *Issuer) Parse(token string) (Ticket, error) { return Ticket{}, nil }
-
-// Answer is a kept answer of a request.
-type Answer struct {
-	Status      int    `cbor:"1,keyasint"`
-	ContentType string `cbor:"2,keyasint"`
-	Body        []byte `cbor:"3,keyasint"`
-	// Truncated means that the body was too large to keep.
-	Truncated bool         `cbor:"4,keyasint"`
-	Outcome   call.Outcome `cbor:"5,keyasint"`
-	Reason    call.Reason  `cbor:"6,keyasint"`
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		IndefLength:       cbor.IndefLengthForbidden,
+		MaxArrayElements:  16,
+		MaxMapPairs:       16,
+		MaxNestedLevels:   4,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
 }
 
-// Verdict is the answer to a ticketed request at its owner: Run, Join, Kept or Refuse.
-type Verdict interface{ verdict() }
-
-// Run means that the request is to be started now, with this many retries.
-type Run struct{ Allowance int }
+// Issuer issues and verifies tickets; it is safe for concurrent use. Its zero value has no key and verifies none.
+type Issuer struct {
+	key     []byte
+	owner   string
+	address string
+	start   time.Time
 
-// Join means that the request runs already; wait for its end and ask again.
-type Join struct{}
+	mu     sync.Mutex
+	seq    uint64
+	issued uint64
+}
 
-// Kept means that the request ended and this is its answer.
-type Kept struct{ Answer Answer }
+// NewIssuer returns an issuer for the node with this member id and calls address, under the deployment's ticket key.
+func NewIssuer(key []byte, owner, address string, start time.Time) *Issuer {
+	return &Issuer{key: append([]byte(nil), key...), owner: owner, address: address, start: start}
+}
 
-// Refuse means that the request is not started.
-type Refuse struct {
-	Reason  call.Reason
-	Outcome call.Outcome
+// Issue returns a new ticket for a request to the service, in the form that callers send back.
+func (i *Issuer) Issue(now time.Time, service string) string {
+	payload := mustMarshal(i.next(now, service))
+	return encoding.EncodeToString(mustMarshal(token{Version: version, Payload: payload, MAC: i.mac(payload)}))
 }
 
-func (Run) verdict()    {}
-func (Join) verdict()   {}
-func (Kept) verdict()   {}
-func (Refuse) verdict() {}
+func (i *Issuer) next(now time.Time, service string) Ticket {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.seq++
+	// A clock that jumps back must not make a later ticket look older than an earlier one: the owner forgets in order.
+	i.issued = max(i.issued, sinceMS(i.start, now))
+	return Ticket{Owner: i.owner, Address: i.address, Seq: i.seq, IssuedMS: i.issued, Service: service}
+}
 
-// Owner is the table of ticketed requests of the node that issued their tickets; the caller serializes access to it.
-type Owner struct{}
+// Parse verifies a ticket's MAC and form; any node of the deployment can do so.
+func (i *Issuer) Parse(text string) (Ticket, error) {
+	if len(text) > MaxToken {
+		return Ticket{}, ErrOversized.New("%d bytes, at most %d: send the ticket as it was issued", len(text), MaxToken)
+	}
+	raw, err := encoding.DecodeString(text)
+	if err != nil {
+		return Ticket{}, ErrMalformed.New("not base64url (%v): send the ticket as it was issued", err)
+	}
+	var tok token
+	if err := decoder.Unmarshal(raw, &tok); err != nil {
+		return Ticket{}, ErrMalformed.New("not CBOR (%v): send the ticket as it was issued", err)
+	}
+	if tok.Version != version {
+		return Ticket{}, ErrMalformed.New("version %d, this node reads version %d: get a new ticket", tok.Version, version)
+	}
+	if len(i.key) == 0 {
+		return Ticket{}, ErrForged.New("this node has no ticket key: give it the deployment's key")
+	}
+	if !hmac.Equal(tok.MAC, i.mac(tok.Payload)) {
+		return Ticket{}, ErrForged.New("the MAC does not fit: send the ticket as it was issued, or get a new one")
+	}
+	var t Ticket
+	if err := decoder.Unmarshal(tok.Payload, &t); err != nil {
+		return Ticket{}, ErrMalformed.New("payload (%v): get a new ticket", err)
+	}
+	if t.Owner == "" || t.Seq == 0 {
+		return Ticket{}, ErrMalformed.New("no owner or no number: get a new ticket")
+	}
+	return t, nil
+}
 
-// NewOwner returns an empty table for the incarnation that started at start.
-func NewOwner(owner string, start time.Time) *Owner { return &Owner{} }
+func (i *Issuer) mac(payload []byte) []byte {
+	h := hmac.New(sha256.New, i.key)
+	// The purpose and the version keep a MAC made for something else under the same key from being accepted.
+	_, _ = h.Write([]byte{'t', 'i', 'c', 'k', 'e', 't', version})
+	_, _ = h.Write(payload)
+	return h.Sum(nil)
+}
 
-// Begin decides on a request that came with a ticket of this owner.
-func (o *Owner) Begin(now time.Time, t Ticket, service string, digest uint64) Verdict {
-	return Run{Allowance: 3}
+func mustMarshal(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err) // The types above always encode.
+	}
+	return b
 }
 
-// Finish records the end of a request that Run started. A "not run" end lets a resend with the ticket run it again,
-// with unused retries of what it had; any other end is final.
-func (o *Owner) Finish(now time.Time, seq uint64, a Answer, unused int) {}
+// sinceMS returns the time from start to now in ms, and 0 for a clock that jumped to before start.
+func sinceMS(start, now time.Time) uint64 {
+	return uint64(max(0, now.Sub(start).Milliseconds()))
+}
