--- a/node/backend.go
+++ b/node/backend.go
@@ -150,6 +150,7 @@
 	if up {
 		state = membership.StateServing
 	}
+	n.choosers.update(n, *n.members.Load())
 	n.control.SetState(state)
 	n.log.Info("backend-server-state", "state", state)
 }
@@ -167,6 +168,7 @@
 	reports := n.poison.crashed(n.clock.Now(), crashID(n.self.ID, number), digests)
 	n.log.Warn("backend-server-crashed", "in-flight", len(digests), "suspects", len(reports))
 	n.metrics.Add("backend-server-crashes", 1)
+	n.choosers.update(n, *n.members.Load())
 	n.control.SetState(membership.StateStarting)
 	n.control.SpreadCrash(reports)
 }
--- a/node/caller.go
+++ b/node/caller.go
@@ -111,13 +111,15 @@
 func (n *Node) enterIdempotent(ctx *fasthttp.RequestCtx, out *outbound) {
 	now := n.clock.Now()
 	stated, _ := strconv.Atoi(string(ctx.Request.Header.Peek(headerResend)))
-	resend := n.requests.resend(now, out, ctx.Request.Header.Peek(headerRequestID), stated)
-	a, ok := retry.ForResend(resend)
+	send := retry.Send{Caller: out.caller, RequestID: string(ctx.Request.Header.Peek(headerRequestID)), Digest: out.digest, Stated: stated}
+	a, resend, ok := n.requests.begin(now, send)
+	good := false
+	defer func() { n.requests.end(n.clock.Now(), send, resend, good) }()
 	if !ok {
 		n.refuseCaller(ctx, &out.op, refusal(call.ReasonRetriesSpent, call.OutcomeNotRun, out.op.Line.String()))
 		return
 	}
-	out.account = newAccount(n.requests.account(a))
+	out.account = a
 	if !n.pressures.admit(now, out.op.Name, out.priority) {
 		n.refuseCaller(ctx, &out.op, refusal(call.ReasonShed, call.OutcomeNotRun, n.levelRule(out.op)))
 		return
@@ -125,7 +127,9 @@
 	watch, stop := n.watch.add(ctx.Conn())
 	defer stop()
 	out.cancelled = watch
-	n.finishCaller(ctx, out, n.carry(out))
+	r := n.carry(out)
+	_, good = r.(answered)
+	n.finishCaller(ctx, out, r)
 }
 
 func (n *Node) levelRule(op inventory.Operation) string {
--- a/node/flight.go
+++ b/node/flight.go
@@ -11,11 +11,25 @@
 
 // account is a retry account that several calls of one request share.
 type account struct {
+	policy retry.Policy
+
 	mu      sync.Mutex
 	retries retry.Account
 }
 
-func newAccount(a retry.Account) *account { return &account{retries: a} }
+func newAccount(policy retry.Policy, a retry.Account) *account {
+	return &account{policy: policy, retries: a}
+}
+
+// outgoing returns the account for one call that the holder of a makes.
+func (a *account) outgoing() *account {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if out := a.policy.Outgoing(&a.retries); out != &a.retries {
+		return newAccount(a.policy, *out)
+	}
+	return a
+}
 
 func (a *account) take() bool {
 	a.mu.Lock()
@@ -26,13 +40,13 @@
 func (a *account) share() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.retries.Share()
+	return a.policy.Share(&a.retries)
 }
 
 func (a *account) giveBack(share, unused int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.retries.Return(share, unused)
+	a.policy.Return(&a.retries, share, unused)
 }
 
 func (a *account) left() int {
@@ -97,10 +111,10 @@
 }
 
 // add records a call and gives it a context that cannot be guessed from outside.
-func (t *flights) add(meta call.Meta, deadline time.Time, random uint64) *flight {
+func (t *flights) add(meta call.Meta, deadline time.Time, a *account, random uint64) *flight {
 	f := &flight{
 		meta: meta, deadline: deadline, cancelled: make(chan struct{}), level: call.LeastImportant,
-		account: newAccount(retry.NewAccount(int(meta.Allowance))), crashes: int(meta.Crashes),
+		account: a, crashes: int(meta.Crashes),
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/node/inner.go
+++ b/node/inner.go
@@ -7,16 +7,14 @@
 
 	"lovagelane/call"
 	"lovagelane/inventory"
+	"lovagelane/retry"
 	"lovagelane/ticket"
 )
 
-// maxInner bounds the calls that one call may make to other services.
-const maxInner = 1024
-
 // innerCalls records the calls that a backend server made for one call, so that repeats are recognised.
 type innerCalls struct {
-	seen  map[uint64]struct{}
-	byKey map[string]*innerCall
+	repeats retry.Inner
+	byKey   map[string]*innerCall
 }
 
 // innerCall is a non-idempotent call that a backend server made; a repeat of it gets its answer.
@@ -26,21 +24,11 @@
 	rule   string
 }
 
-// repeats reports whether the backend server made this call before, and false for ok when it made too many.
-func (f *flight) repeats(digest uint64) (repeat, ok bool) {
+// repeats records a call that the backend server makes and reports whether it made it before.
+func (f *flight) repeats(digest uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, seen := f.inner.seen[digest]; seen {
-		return true, true
-	}
-	if len(f.inner.seen) >= maxInner {
-		return false, false
-	}
-	if f.inner.seen == nil {
-		f.inner.seen = map[uint64]struct{}{}
-	}
-	f.inner.seen[digest] = struct{}{}
-	return false, true
+	return f.inner.repeats.Repeats(digest)
 }
 
 // claim returns the record of a non-idempotent call and whether the caller of claim is the one to make it.
@@ -100,13 +88,10 @@
 		return
 	}
 	out := n.innerOf(ctx, f, op, target, b)
-	repeat, ok := f.repeats(out.digest)
 	switch {
-	case !ok:
-		n.refuseCaller(ctx, &op, refusal(call.ReasonBusy, call.OutcomeNotRun, op.Line.String()))
 	case op.NonIdempotent:
 		n.enterInnerOnce(ctx, f, out)
-	case repeat && !f.account.take():
+	case f.repeats(out.digest) && !f.account.take():
 		n.refuseCaller(ctx, &op, refusal(call.ReasonRetriesSpent, call.OutcomeNotRun, op.Line.String()))
 	default:
 		n.writeReply(ctx, out, n.carryInner(f, out))
@@ -120,7 +105,7 @@
 	}
 	_, crashes := f.learned()
 	out := &outbound{
-		op: op, requestID: f.meta.RequestID, priority: f.meta.Priority, deadline: deadline, account: f.account,
+		op: op, requestID: f.meta.RequestID, priority: f.meta.Priority, deadline: deadline, account: f.account.outgoing(),
 		depth: f.meta.Depth + 1, crashes: crashes, caller: f.meta.Caller, method: string(ctx.Method()), target: target,
 		header: &ctx.Request.Header, body: b, cancelled: f.cancelled,
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"lovagelane/membership"
 	"lovagelane/quarantine"
 	"lovagelane/settings"
+	"lovagelane/ticket"
 )
 
 const (
@@ -89,7 +90,7 @@
 	draining   atomic.Bool
 	refusing   atomic.Bool
 	outside    atomic.Int64
-	attemptSeq atomic.Uint64
+	attemptSeq *ticket.Sequence
 	flights    flights
 	gate       *gate
 	backend    *backend
@@ -142,6 +143,7 @@
 		n.clock = kernel.SystemClock{}
 	}
 	n.started = n.clock.Now()
+	n.attemptSeq = ticket.NewSequence(n.started)
 	id, seed := newID()
 	if o.Seed != 0 {
 		seed = o.Seed
@@ -309,6 +311,7 @@
 func (n *Node) Drain(ctx context.Context) error {
 	n.drainOnce.Do(func() {
 		n.draining.Store(true)
+		n.choosers.update(n, *n.members.Load())
 		n.control.SetState(membership.StateDraining)
 		n.log.Info("drain-started", "in-flight", n.flights.count(), "outside", n.outside.Load())
 		n.group.Go("drain", n.finishDrain)
--- a/node/owned.go
+++ b/node/owned.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/call"
-	"lovagelane/retry"
 	"lovagelane/ticket"
 )
 
@@ -38,6 +37,13 @@
 	return o.owner.Begin(now, t, out.op.Service, out.digest), o.changed
 }
 
+// again asks once more for a request that was answered Join.
+func (o *owned) again(now time.Time, t ticket.Ticket, out *outbound) (ticket.Verdict, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.owner.Again(now, t, out.op.Service, out.digest), o.changed
+}
+
 func (o *owned) finish(now time.Time, seq uint64, a ticket.Answer, unused int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -125,7 +131,7 @@
 		}
 		select {
 		case <-changed:
-			verdict, changed = n.owned.begin(n.clock.Now(), t, out)
+			verdict, changed = n.owned.again(n.clock.Now(), t, out)
 		case <-timer.C:
 			n.refuseCaller(ctx, &out.op, refusal(call.ReasonDeadline, call.OutcomeUnknown, out.op.TimeoutLine.String()))
 			return
@@ -136,7 +142,7 @@
 // startOwned carries a request that the owner started and keeps its answer for resends. A caller that disconnects does
 // not cancel it, because its resend asks for the answer.
 func (n *Node) startOwned(ctx *fasthttp.RequestCtx, out *outbound, t ticket.Ticket, allowance int) {
-	out.account = newAccount(n.requests.account(retry.NewAccount(allowance)))
+	out.account = n.requests.owned(allowance)
 	if !n.pressures.admit(n.clock.Now(), out.op.Name, out.priority) {
 		n.owned.finish(n.clock.Now(), t.Seq, ticket.Answer{Outcome: call.OutcomeNotRun, Reason: call.ReasonShed}, allowance)
 		n.refuseCaller(ctx, &out.op, refusal(call.ReasonShed, call.OutcomeNotRun, n.levelRule(out.op)))
--- a/node/peer.go
+++ b/node/peer.go
@@ -26,7 +26,7 @@
 // nextAttempt numbers a new attempt to another node. One counter serves all receivers, so that a number is not used twice
 // for a member that was removed and came back.
 func (n *Node) nextAttempt(receiver string) call.Attempt {
-	return call.Attempt{Sender: n.self.ID, Receiver: receiver, Seq: n.attemptSeq.Add(1)}
+	return call.Attempt{Sender: n.self.ID, Receiver: receiver, Seq: n.attemptSeq.Next()}
 }
 
 func (p *peer) current() *fasthttp.HostClient {
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/call"
+	"lovagelane/ticket"
 )
 
 // remedies tell a caller what to do about a refusal.
@@ -31,6 +32,9 @@
 	call.ReasonTooDeep:         "look for a loop in the call graph",
 	call.ReasonBadRequest:      "correct the request",
 	call.ReasonBusy:            "send it again later: a table of this node is full",
+
+	ticket.ReasonAttemptRepeated:  "check with the service whether it ran before sending it again",
+	ticket.ReasonOtherIncarnation: "send it again later: the backend server was replaced",
 }
 
 // statuses are the HTTP statuses of refusals; a reason that is missing here is answered 503.
--- a/node/serving.go
+++ b/node/serving.go
@@ -109,11 +109,15 @@
 	// between finds it absent and keeps it from running.
 	if meta.NonIdempotent {
 		if reason := n.attempts.arrive(n.clock.Now(), meta.Attempt); reason != call.ReasonNone {
-			n.answerRefusal(ctx, nil, meta, refusal(reason, call.OutcomeNotRun, meta.Rule))
+			outcome := call.OutcomeNotRun
+			if reason == ticket.ReasonAttemptRepeated {
+				outcome = call.OutcomeUnknown
+			}
+			n.answerRefusal(ctx, nil, meta, refusal(reason, outcome, meta.Rule))
 			return
 		}
 	}
-	f := n.flights.add(meta, arrived.Add(meta.Remaining()), n.rand.Uint64())
+	f := n.flights.add(meta, arrived.Add(meta.Remaining()), n.requests.received(int(meta.Allowance)), n.rand.Uint64())
 	n.runFlight(ctx, f, target, b)
 }
 
