--- /dev/null
+++ b/admission/learned.go
@@ -0,0 +1,134 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// minSamples and maxSamples bound the calls whose median decides on one change of the limit.
+	minSamples = 10
+	maxSamples = 64
+	// slowWindow closes a window with fewer samples (at least fewSamples) on a backend server with little traffic.
+	slowWindow = 200 * time.Millisecond
+	fewSamples = 5
+	// tolerance is how many times the unloaded latency the median may be. Medians of few samples vary by a third, so a
+	// smaller value lowers the limit without cause.
+	tolerance = 2.0
+	// minShrink is the least factor that one window applies to the limit.
+	minShrink = 0.5
+	// trialShrink is how far the limit must have gone down before it is judged whether that helped.
+	trialShrink = 0.7
+	// helped is the latency, relative to that before the reduction, below which the reduction helped. If concurrency
+	// were the cause, the latency would have fallen to about trialShrink.
+	helped = 0.85
+	// firstLimit and firstShare give the limit of a cold backend server.
+	firstLimit = 4
+	firstShare = 8
+)
+
+func init() {
+	Limiters.Register("learned", func() Limiter { return &learned{} })
+}
+
+// learned adjusts the limit by the gradient between the unloaded latency and the median of the latest calls.
+type learned struct {
+	limit float64
+	// healthy is the highest limit that is worth doubling to; beyond it the limit grows by its square root.
+	healthy float64
+	// base is the median latency of the unloaded backend server.
+	base    float64
+	samples []float64
+	began   time.Time
+	// changed is when the limit last changed; calls started earlier tell nothing about the new one.
+	changed   time.Time
+	saturated bool
+	trial     trial
+}
+
+// trial remembers the state before a reduction, to judge whether it helped.
+type trial struct {
+	limit   float64
+	latency float64
+}
+
+func (l *learned) Limit(slots int) int {
+	if l.limit == 0 {
+		return min(slots, max(firstLimit, slots/firstShare))
+	}
+	return max(1, min(slots, int(l.limit)))
+}
+
+func (l *learned) Observe(o Observation) {
+	if l.limit == 0 {
+		l.limit = float64(l.Limit(o.Slots))
+		l.healthy = float64(o.Slots)
+	}
+	l.limit = min(l.limit, float64(o.Slots))
+	if o.Started.Before(l.changed) || o.Latency <= 0 {
+		return
+	}
+	if len(l.samples) == 0 {
+		l.began, l.saturated = o.Now, false
+	}
+	l.samples = append(l.samples, o.Latency)
+	l.saturated = l.saturated || o.Saturated
+	enough := max(minSamples, min(maxSamples, int(l.limit)))
+	if len(l.samples) >= enough || len(l.samples) >= fewSamples && o.Now.Sub(l.began) >= slowWindow {
+		l.adjust(o)
+	}
+}
+
+func (l *learned) adjust(o Observation) {
+	slices.Sort(l.samples)
+	median := l.samples[len(l.samples)/2]
+	l.samples = l.samples[:0]
+	if l.base == 0 {
+		l.base = median
+	}
+	if median < l.base {
+		l.base = (l.base + median) / 2
+	}
+	// A limit that was not reached cannot be the cause of slow calls and needs no growth.
+	if !l.saturated {
+		return
+	}
+	before := l.limit
+	if median <= tolerance*l.base {
+		l.grow()
+	} else {
+		l.shrink(median)
+	}
+	l.limit = max(1, min(float64(o.Slots), l.limit))
+	if int(l.limit) != int(before) {
+		l.changed = o.Now
+	}
+}
+
+func (l *learned) grow() {
+	l.trial = trial{}
+	if l.limit < l.healthy {
+		l.limit = min(2*l.limit, l.healthy)
+		return
+	}
+	l.limit += max(1, math.Sqrt(l.limit))
+	l.healthy = l.limit
+}
+
+// shrink lowers the limit. When that did not lower the latency, something else slowed the backend server down: its present
+// latency is taken for the unloaded one and the limit is restored, so that the limit cannot stay low.
+func (l *learned) shrink(median float64) {
+	if l.trial.limit == 0 {
+		l.trial = trial{limit: l.limit, latency: median}
+	}
+	if l.limit <= 1 || l.limit <= trialShrink*l.trial.limit {
+		if median > helped*l.trial.latency {
+			l.base, l.limit, l.trial = median, l.trial.limit, trial{}
+			return
+		}
+		l.trial = trial{limit: l.limit, latency: median}
+		l.healthy = l.limit
+	}
+	l.limit *= max(minShrink, tolerance*l.base/median)
+}
--- a/balance/chooser.go
+++ b/balance/chooser.go
@@ -70,34 +70,115 @@
 
 // Chooser chooses among the backend servers of one service; the caller serializes access to it.
 type Chooser struct {
-	cfg        Config
-	candidates []Candidate
-	next       int
+	cfg    Config
+	rand   *kernel.Rand
+	policy Policy
+	peers  map[string]*peer
+	// tiers holds the candidates that are not suspected by distance: own availability zone, own region, other regions.
+	tiers [tierCount][]*peer
+	// all holds every candidate in the order of the last Update.
+	all []*peer
+	// good holds the latencies of good answers by tier, since answers from other regions take longer.
+	good [tierCount]recent
+	// every holds the latencies of good answers of all tiers.
+	every recent
 }
 
+// Policy is a way to choose; the chooser serializes access to it.
+type Policy interface {
+	// Pick returns the choice for a query.
+	Pick(c *Chooser, now time.Time, q Query) Choice
+}
+
+// Policies holds the policy plug-ins by name.
+var Policies kernel.Registry[func() Policy]
+
 // New returns a chooser without candidates, or an error for an unknown policy.
-func New(cfg Config, r *kernel.Rand) (*Chooser, error) { return &Chooser{cfg: cfg}, nil }
+func New(cfg Config, r *kernel.Rand) (*Chooser, error) {
+	name := cfg.Policy
+	if name == "" {
+		name = "least-loaded"
+	}
+	create, err := Policies.Lookup(name)
+	if err != nil {
+		return nil, err
+	}
+	return &Chooser{cfg: cfg, rand: r, policy: create(), peers: map[string]*peer{}}, nil
+}
 
 // Update replaces the candidates and keeps what is known of those that remain.
-func (c *Chooser) Update(now time.Time, candidates []Candidate) { c.candidates = candidates }
-
-// Choose picks a backend server; report the call with Started and Finished.
-func (c *Chooser) Choose(now time.Time, q Query) Choice {
-	for range c.candidates {
-		c.next++
-		candidate := c.candidates[c.next%len(c.candidates)]
-		if !q.Exclude.Has(candidate.ID) {
-			return Chosen{ID: candidate.ID}
+func (c *Chooser) Update(now time.Time, candidates []Candidate) {
+	peers := make(map[string]*peer, len(candidates))
+	c.all = c.all[:0]
+	for i := range c.tiers {
+		c.tiers[i] = c.tiers[i][:0]
+	}
+	for _, candidate := range candidates {
+		if peers[candidate.ID] != nil {
+			continue
+		}
+		p := c.peers[candidate.ID]
+		if p == nil {
+			p = newPeer()
+		}
+		p.candidate, p.tier = candidate, c.tier(candidate.Place)
+		peers[candidate.ID] = p
+		c.all = append(c.all, p)
+		if !candidate.Suspected {
+			c.tiers[p.tier] = append(c.tiers[p.tier], p)
 		}
 	}
-	return None{Reason: call.ReasonNoBackendServer}
+	c.peers = peers
 }
 
+// Choose picks a backend server; report the call with Started and Finished.
+func (c *Chooser) Choose(now time.Time, q Query) Choice { return c.policy.Pick(c, now, q) }
+
 // Started counts a call that is sent to a candidate; token identifies it until Finished.
-func (c *Chooser) Started(now time.Time, id string, token uint64) {}
+func (c *Chooser) Started(now time.Time, id string, token uint64) {
+	if p := c.peers[id]; p != nil {
+		p.started(now, token)
+	}
+}
 
 // Finished records the end of a call.
-func (c *Chooser) Finished(now time.Time, id string, token uint64, res Result) {}
+func (c *Chooser) Finished(now time.Time, id string, token uint64, res Result) {
+	p := c.peers[id]
+	if p == nil {
+		return
+	}
+	f := p.flights[token]
+	if f == nil {
+		return
+	}
+	good := res.Answered && res.Outcome == call.OutcomeRan && res.Reason == call.ReasonNone
+	if good {
+		c.good[p.tier].add(res.Latency)
+		c.every.add(res.Latency)
+	}
+	p.finished(now, f, res, good, c.slow(p.tier))
+}
 
 // HedgeDelay returns how long to wait for an answer before a hedge is worth sending; zero means unknown.
-func (c *Chooser) HedgeDelay() time.Duration { return 0 }
+func (c *Chooser) HedgeDelay() time.Duration { return c.every.p95 }
+
+func (c *Chooser) tier(place Place) int {
+	switch {
+	case place.Region != c.cfg.Home.Region:
+		return 2
+	case place.AvailabilityZone != c.cfg.Home.AvailabilityZone:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// slow returns the latency from which a call of a tier is too slow. The usual latency is that of the whole tier, because
+// a slowed backend server would soon make its own latency the usual one.
+func (c *Chooser) slow(tier int) time.Duration {
+	p95 := c.good[tier].p95
+	if p95 == 0 {
+		return slowUnknown
+	}
+	return max(slowFactor*p95, slowMinimum)
+}
