--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagelane/inventory"
+	"lovagelane/quarantine"
+	"lovagelane/rollout"
+)
+
+func applyConfig(t testing.TB, store *memoryStore, base uint64) {
+	t.Helper()
+	files := []inventory.File{{Name: "inventory.ini", Text: "[region rn]\n# " + string(rune('a'+base))}}
+	accepted, err := rollout.Apply(context.Background(), store, files, "operator", base)
+	require.NoError(t, err)
+	require.Equal(t, base+1, accepted.Version)
+}
+
+// Guards against members that never learn of each other, and against a configuration that does not reach every node.
+func TestNodesJoinAndTakeTheConfiguration(t *testing.T) {
+	store := newMemoryStore()
+	nodes := startNodes(t, 8, store)
+	eventually(t, "everyone sees everyone", allSee(nodes, 8))
+	applyConfig(t, store, 0)
+	nodes[3].PollStore()
+	eventually(t, "version 1 in force everywhere", allRun(nodes, 1))
+}
+
+// Guards against a node that needs the store to join or to start, and against a start below the version in force.
+func TestStoreOutageDoesNotStopJoining(t *testing.T) {
+	store := newMemoryStore()
+	nodes := startNodes(t, 5, store)
+	eventually(t, "everyone sees everyone", allSee(nodes, 5))
+	applyConfig(t, store, 0)
+	eventually(t, "version 1 in force everywhere", allRun(nodes, 1))
+	applyConfig(t, store, 1)
+	eventually(t, "version 2 in force everywhere", allRun(nodes, 2))
+	store.setDown(true)
+
+	require.NoError(t, nodes[4].Stop())
+	eventually(t, "the stopped one has left", allSee(nodes[:4], 4))
+	restarted := startNode(t, place{
+		id: "n04-again", region: "rn", listen: nodes[4].Address(), seeds: []string{nodes[0].Address()}, store: store,
+	})
+	nodes[4] = restarted
+	eventually(t, "everyone sees everyone without the store", allSee(nodes, 5))
+	eventually(t, "the new one runs the configuration", allRun(nodes, 2))
+	require.Equal(t, []uint64{2}, restarted.inForceVersions(), "an older version was in force first")
+}
+
+// Guards against crash reports that are lost, repeated or sent back to the node that reported.
+func TestCrashReportsReachEveryNodeOnce(t *testing.T) {
+	nodes := startNodes(t, 6, nil)
+	eventually(t, "everyone sees everyone", allSee(nodes, 6))
+	report := quarantine.Report{Digest: 7, Crash: "n00/1"}
+	nodes[0].SpreadCrash([]quarantine.Report{report})
+	nodes[0].SpreadCrash([]quarantine.Report{report})
+	later := quarantine.Report{Digest: 7, Crash: "n00/2"}
+	eventually(t, "the first report is everywhere", func() bool {
+		for _, n := range nodes[1:] {
+			if len(n.crashReports()) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	nodes[0].SpreadCrash([]quarantine.Report{later})
+	eventually(t, "the second report is everywhere", func() bool {
+		for _, n := range nodes[1:] {
+			if got := n.crashReports(); got[len(got)-1] != later {
+				return false
+			}
+		}
+		return true
+	})
+	for _, n := range nodes[1:] {
+		require.Equal(t, []quarantine.Report{report, later}, n.crashReports())
+	}
+	require.Empty(t, nodes[0].crashReports())
+}
--- /dev/null
+++ b/control/helper_test.go
@@ -0,0 +1,196 @@
+package control
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"math/big"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagelane/inventory"
+	"lovagelane/kernel"
+	"lovagelane/membership"
+	"lovagelane/platform"
+	"lovagelane/quarantine"
+)
+
+// testKeys is one self-signed certificate that both sides show and trust.
+type testKeys struct {
+	certificate tls.Certificate
+	pool        *x509.CertPool
+}
+
+var sharedKeys = sync.OnceValue(func() testKeys {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		panic(err)
+	}
+	// The fixed dates and the fixed name let helper processes use keys of their own start.
+	return keysOf(key)
+})
+
+func keysOf(key *ecdsa.PrivateKey) testKeys {
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		NotBefore:             time.Now().Add(-time.Hour),
+		NotAfter:              time.Now().Add(24 * time.Hour),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+		KeyUsage:              x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		panic(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		panic(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return testKeys{certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool: pool}
+}
+
+func (k testKeys) Server(protocols ...string) *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{k.certificate}, ClientCAs: k.pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, NextProtos: protocols, MinVersion: tls.VersionTLS13,
+	}
+}
+
+func (k testKeys) Client(protocols ...string) *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{k.certificate}, RootCAs: k.pool, NextProtos: protocols, MinVersion: tls.VersionTLS13,
+	}
+}
+
+// quick is about ten times faster than operation.
+func quick(keys tlsSource) tuning {
+	t := defaultTuning()
+	t.heartbeat, t.silence, t.dial = 100*time.Millisecond, time.Second, time.Second
+	t.flood, t.digest, t.suspicion = 10*time.Millisecond, 300*time.Millisecond, 700*time.Millisecond
+	t.renew, t.list, t.poll = 300*time.Millisecond, 300*time.Millisecond, 200*time.Millisecond
+	t.seedRetry, t.seedCheck = 50*time.Millisecond, 300*time.Millisecond
+	t.backoffMin, t.backoffMax, t.dialGap = 20*time.Millisecond, 300*time.Millisecond, 5*time.Millisecond
+	t.refuteGap, t.pullWait, t.storeWait = 50*time.Millisecond, 500*time.Millisecond, time.Second
+	t.tls = keys
+	return t
+}
+
+// node is a Control with what its callbacks reported.
+type node struct {
+	*Control
+	mu       sync.Mutex
+	versions []uint64
+	crashes  []quarantine.Report
+}
+
+func (n *node) inForceVersions() []uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]uint64(nil), n.versions...)
+}
+
+func (n *node) crashReports() []quarantine.Report {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]quarantine.Report(nil), n.crashes...)
+}
+
+type place struct {
+	id, region, listen string
+	seeds              []string
+	store              platform.Store
+}
+
+func startNode(t testing.TB, p place) *node {
+	t.Helper()
+	n := &node{}
+	tuned := quick(sharedKeys())
+	tuned.store = p.store
+	c, err := start(context.Background(), Options{
+		Self:   membership.Member{ID: p.id, Service: "maps", Region: p.region, AvailabilityZone: p.region + "-1"},
+		Listen: orLoopback(p.listen),
+		Seeds:  p.seeds,
+		Rand:   kernel.NewRand(uint64(len(p.id)) + uint64(time.Now().UnixNano())),
+		OnConfig: func(cfg *inventory.Config) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.versions = append(n.versions, cfg.Version())
+		},
+		OnCrash: func(r quarantine.Report) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.crashes = append(n.crashes, r)
+		},
+	}, tuned)
+	require.NoError(t, err)
+	n.Control = c
+	t.Cleanup(func() { _ = c.abort() })
+	return n
+}
+
+func orLoopback(listen string) string {
+	if listen == "" {
+		return "127.0.0.1:0"
+	}
+	return listen
+}
+
+// startNodes starts n nodes in two regions, where all join by the first two.
+func startNodes(t testing.TB, n int, store platform.Store) []*node {
+	t.Helper()
+	var nodes []*node
+	var seeds []string
+	for i := range n {
+		region := []string{"rn", "ce"}[i%2]
+		nodes = append(nodes, startNode(t, place{id: fmt.Sprintf("n%02d", i), region: region, seeds: seeds, store: store}))
+		if i < 2 {
+			seeds = append(seeds, nodes[i].Address())
+		}
+	}
+	return nodes
+}
+
+// eventually waits for an event; the deadline only ends a test that has failed.
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			require.FailNow(t, "did not happen: "+what)
+		}
+	}
+}
+
+func allSee(nodes []*node, members int) func() bool {
+	return func() bool {
+		for _, n := range nodes {
+			if len(n.Members()) != members-1 {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func allRun(nodes []*node, version uint64) func() bool {
+	return func() bool {
+		for _, n := range nodes {
+			if v := n.inForceVersions(); len(v) == 0 || v[len(v)-1] != version {
+				return false
+			}
+		}
+		return true
+	}
+}
--- /dev/null
+++ b/control/store_test.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"lovagelane/platform"
+)
+
+var errDown = &platform.UnavailableError{Cause: errors.New("switched off")}
+
+// memoryStore is the platform in memory, with a switch for an outage.
+type memoryStore struct {
+	mu       sync.Mutex
+	down     bool
+	revision map[string]uint64
+	rows     map[string]map[string]platform.Row
+	objects  map[string][]byte
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{
+		revision: map[string]uint64{}, rows: map[string]map[string]platform.Row{}, objects: map[string][]byte{},
+	}
+}
+
+func (s *memoryStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *memoryStore) lock() (func(), error) {
+	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		return nil, errDown
+	}
+	return s.mu.Unlock, nil
+}
+
+func (s *memoryStore) Row(_ context.Context, table, key string) (platform.Row, bool, error) {
+	unlock, err := s.lock()
+	if err != nil {
+		return platform.Row{}, false, err
+	}
+	defer unlock()
+	row, ok := s.rows[table][key]
+	return row, ok && !row.Deleted, nil
+}
+
+func (s *memoryStore) Rows(_ context.Context, table string, since uint64) (uint64, []platform.Row, error) {
+	unlock, err := s.lock()
+	if err != nil {
+		return 0, nil, err
+	}
+	defer unlock()
+	var rows []platform.Row
+	for _, row := range s.rows[table] {
+		if row.Revision > since {
+			rows = append(rows, row)
+		}
+	}
+	return s.revision[table], rows, nil
+}
+
+func (s *memoryStore) Transact(_ context.Context, table string, writes []platform.Write) (platform.Commit, error) {
+	unlock, err := s.lock()
+	if err != nil {
+		return platform.Commit{}, err
+	}
+	defer unlock()
+	for _, w := range writes {
+		if version, ok := w.IfVersion.Get(); ok && s.rows[table][w.Key].Version != version {
+			return platform.Commit{}, &platform.ConflictError{Table: table, Key: w.Key, Version: s.rows[table][w.Key].Version}
+		}
+	}
+	if s.rows[table] == nil {
+		s.rows[table] = map[string]platform.Row{}
+	}
+	commit := platform.Commit{Versions: map[string]uint64{}}
+	for _, w := range writes {
+		s.revision[table]++
+		row := platform.Row{Key: w.Key, Value: w.Value, Version: s.rows[table][w.Key].Version + 1, Deleted: w.Delete}
+		row.Revision = s.revision[table]
+		s.rows[table][w.Key] = row
+		commit.Versions[w.Key] = row.Version
+	}
+	commit.Revision = s.revision[table]
+	return commit, nil
+}
+
+func (s *memoryStore) PutObject(_ context.Context, name string, data []byte) error {
+	unlock, err := s.lock()
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	s.objects[name] = data
+	return nil
+}
+
+func (s *memoryStore) Object(_ context.Context, name string) ([]byte, bool, error) {
+	unlock, err := s.lock()
+	if err != nil {
+		return nil, false, err
+	}
+	defer unlock()
+	data, ok := s.objects[name]
+	return data, ok, nil
+}
