--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,326 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lovagelane/kernel"
+)
+
+// Row is a row of a table as the table service answers it.
+type Row struct {
+	Key      string `json:"key"`
+	Value    string `json:"value"`
+	Version  uint64 `json:"version"`
+	Revision uint64 `json:"revision"`
+	AgeMS    int64  `json:"age-ms"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Write is one write of a transaction.
+type Write struct {
+	Key       string  `json:"key"`
+	Value     string  `json:"value"`
+	IfVersion *uint64 `json:"if-version,omitempty"`
+	Delete    bool    `json:"delete,omitempty"`
+}
+
+// PlatformFaults switches faults on or off; absent fields stay as they are.
+type PlatformFaults struct {
+	// Down answers every request with 503.
+	Down *bool `json:"down,omitempty"`
+	// DelayMS delays every request before it takes effect.
+	DelayMS *int64 `json:"delay-ms,omitempty"`
+	// LoseAnswers lets the next n writes take effect and closes their connections without an answer.
+	LoseAnswers *int `json:"lose-answers,omitempty"`
+}
+
+// PlatformCounts are the requests that the store carried out.
+type PlatformCounts struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
+type storedRow struct {
+	Row
+	written time.Time
+}
+
+type table struct {
+	revision uint64
+	rows     map[string]*storedRow
+}
+
+// Platform is a table service and an object store in memory.
+type Platform struct {
+	clock kernel.Clock
+
+	mu          sync.Mutex
+	tables      map[string]*table
+	objects     map[string][]byte
+	counts      PlatformCounts
+	down        bool
+	delay       time.Duration
+	loseAnswers int
+}
+
+// NewPlatform returns an empty store.
+func NewPlatform(clock kernel.Clock) *Platform {
+	return &Platform{clock: clock, tables: map[string]*table{}, objects: map[string][]byte{}}
+}
+
+// Serve answers requests on ln until the group stops.
+func (p *Platform) Serve(g *kernel.Group, ln net.Listener) {
+	serve(g, "platform", newServer(p.handle), ln)
+}
+
+func (p *Platform) handle(ctx *fasthttp.RequestCtx) {
+	parts, err := pathParts(ctx)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if parts[0] == "standin" {
+		p.handleSwitches(ctx, parts)
+		return
+	}
+	p.mu.Lock()
+	delay, down := p.delay, p.down
+	p.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	if down {
+		ctx.Error("the store is down", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	method := string(ctx.Method())
+	switch {
+	case method == "GET" && len(parts) == 4 && parts[0] == "tables" && parts[2] == "rows":
+		p.getRow(ctx, parts[1], parts[3])
+	case method == "GET" && len(parts) == 3 && parts[0] == "tables" && parts[2] == "rows":
+		p.listRows(ctx, parts[1])
+	case method == "POST" && len(parts) == 3 && parts[0] == "tables" && parts[2] == "transactions":
+		p.transact(ctx, parts[1])
+	case method == "PUT" && len(parts) == 2 && parts[0] == "objects":
+		p.putObject(ctx, parts[1])
+	case method == "GET" && len(parts) == 2 && parts[0] == "objects":
+		p.getObject(ctx, parts[1])
+	default:
+		ctx.Error("no such resource", fasthttp.StatusNotFound)
+	}
+}
+
+// pathParts splits the path before it unescapes the segments, since a key may contain an escaped slash.
+func pathParts(ctx *fasthttp.RequestCtx) ([]string, error) {
+	parts := strings.Split(strings.Trim(string(ctx.URI().PathOriginal()), "/"), "/")
+	for i := range parts {
+		s, err := url.PathUnescape(parts[i])
+		if err != nil {
+			return nil, err
+		}
+		parts[i] = s
+	}
+	return parts, nil
+}
+
+func (p *Platform) handleSwitches(ctx *fasthttp.RequestCtx, parts []string) {
+	switch {
+	case len(parts) == 2 && parts[1] == "counts" && ctx.IsGet():
+		p.mu.Lock()
+		c := p.counts
+		p.mu.Unlock()
+		answerJSON(ctx, fasthttp.StatusOK, c)
+	case len(parts) == 2 && parts[1] == "faults" && ctx.IsPost():
+		var f PlatformFaults
+		if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		p.SetFaults(f)
+	default:
+		ctx.Error("no such switch", fasthttp.StatusNotFound)
+	}
+}
+
+// SetFaults switches faults on or off.
+func (p *Platform) SetFaults(f PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.Down != nil {
+		p.down = *f.Down
+	}
+	if f.DelayMS != nil {
+		p.delay = time.Duration(*f.DelayMS) * time.Millisecond
+	}
+	if f.LoseAnswers != nil {
+		p.loseAnswers = *f.LoseAnswers
+	}
+}
+
+func (p *Platform) getRow(ctx *fasthttp.RequestCtx, tableName, key string) {
+	p.mu.Lock()
+	p.counts.Reads++
+	var row Row
+	var r *storedRow
+	if t := p.tables[tableName]; t != nil {
+		r = t.rows[key]
+	}
+	found := r != nil && !r.Deleted
+	if found {
+		row = p.read(r)
+	}
+	p.mu.Unlock()
+	if !found {
+		ctx.Error("no such row", fasthttp.StatusNotFound)
+		return
+	}
+	answerJSON(ctx, fasthttp.StatusOK, row)
+}
+
+// read returns the row with its age; the caller holds mu.
+func (p *Platform) read(r *storedRow) Row {
+	row := r.Row
+	row.AgeMS = p.clock.Now().Sub(r.written).Milliseconds()
+	return row
+}
+
+func (p *Platform) listRows(ctx *fasthttp.RequestCtx, tableName string) {
+	since := uint64(0)
+	if s := ctx.QueryArgs().Peek("since"); len(s) > 0 {
+		n, err := strconv.ParseUint(string(s), 10, 64)
+		if err != nil {
+			ctx.Error("since is not a revision", fasthttp.StatusBadRequest)
+			return
+		}
+		since = n
+	}
+	var list struct {
+		Revision uint64 `json:"revision"`
+		Rows     []Row  `json:"rows"`
+	}
+	list.Rows = []Row{}
+	p.mu.Lock()
+	p.counts.Reads++
+	if t := p.tables[tableName]; t != nil {
+		list.Revision = t.revision
+		for _, r := range t.rows {
+			if r.Revision > since {
+				list.Rows = append(list.Rows, p.read(r))
+			}
+		}
+	}
+	p.mu.Unlock()
+	answerJSON(ctx, fasthttp.StatusOK, list)
+}
+
+func (p *Platform) transact(ctx *fasthttp.RequestCtx, tableName string) {
+	var in struct {
+		Writes []Write `json:"writes"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	seen := kernel.Set[string]{}
+	for _, w := range in.Writes {
+		if w.Key == "" || seen.Has(w.Key) {
+			ctx.Error("each write of a transaction needs a key of its own", fasthttp.StatusBadRequest)
+			return
+		}
+		seen[w.Key] = struct{}{}
+	}
+	p.mu.Lock()
+	t := p.tables[tableName]
+	if t == nil {
+		t = &table{rows: map[string]*storedRow{}}
+		p.tables[tableName] = t
+	}
+	if failed, version, ok := t.check(in.Writes); !ok {
+		p.counts.Reads++
+		p.mu.Unlock()
+		answerJSON(ctx, fasthttp.StatusPreconditionFailed, map[string]any{"key": failed, "version": version})
+		return
+	}
+	versions := t.apply(in.Writes, p.clock.Now())
+	revision := t.revision
+	lost := p.countWrite()
+	p.mu.Unlock()
+	if lost {
+		dropConnection(ctx)
+		return
+	}
+	answerJSON(ctx, fasthttp.StatusOK, map[string]any{"revision": revision, "versions": versions})
+}
+
+// countWrite counts a write that took effect and reports whether its answer is to be lost; the caller holds mu.
+func (p *Platform) countWrite() bool {
+	p.counts.Writes++
+	if p.loseAnswers == 0 {
+		return false
+	}
+	p.loseAnswers--
+	return true
+}
+
+func (t *table) version(key string) uint64 {
+	if r := t.rows[key]; r != nil && !r.Deleted {
+		return r.Version
+	}
+	return 0
+}
+
+// check returns the first write whose condition fails, with the version that the row has.
+func (t *table) check(writes []Write) (string, uint64, bool) {
+	for _, w := range writes {
+		if have := t.version(w.Key); w.IfVersion != nil && *w.IfVersion != have {
+			return w.Key, have, false
+		}
+	}
+	return "", 0, true
+}
+
+func (t *table) apply(writes []Write, now time.Time) map[string]uint64 {
+	t.revision++
+	versions := map[string]uint64{}
+	for _, w := range writes {
+		r := Row{Key: w.Key, Value: w.Value, Version: t.version(w.Key) + 1, Revision: t.revision, Deleted: w.Delete}
+		if w.Delete {
+			r.Value = ""
+		}
+		t.rows[w.Key] = &storedRow{Row: r, written: now}
+		versions[w.Key] = r.Version
+	}
+	return versions
+}
+
+func (p *Platform) putObject(ctx *fasthttp.RequestCtx, name string) {
+	body := append([]byte(nil), ctx.PostBody()...)
+	p.mu.Lock()
+	p.objects[name] = body
+	lost := p.countWrite()
+	p.mu.Unlock()
+	if lost {
+		dropConnection(ctx)
+	}
+}
+
+func (p *Platform) getObject(ctx *fasthttp.RequestCtx, name string) {
+	p.mu.Lock()
+	p.counts.Reads++
+	body, ok := p.objects[name]
+	p.mu.Unlock()
+	if !ok {
+		ctx.Error("no such object", fasthttp.StatusNotFound)
+		return
+	}
+	ctx.SetContentType("application/octet-stream")
+	ctx.SetBody(body)
+}
