Replace silent connections between nodes

Cause: after a connection between two nodes went silent, the retry excluded the only backend server, so the call was refused although nothing had run. Change: an attempt that was fenced off on a silent connection does not exclude its backend server; a refused body is read before the refusal. Conclusion: a silent connection says nothing about the backend server.

--- a/node/body.go
+++ b/node/body.go
@@ -4,12 +4,20 @@
 	"errors"
 	"io"
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/call"
 )
 
+const (
+	// discardedBody is how much of a refused body is read and thrown away, in bytes.
+	discardedBody = 16 << 20
+	// discardTimeout bounds the time spent on a refused body.
+	discardTimeout = 2 * time.Second
+)
+
 // body is a request body: buffered or streamed.
 type body interface{ size() int }
 
@@ -52,6 +60,16 @@
 	return buffered(b), call.ReasonNone
 }
 
+// discardBody reads the rest of a refused body, so that the caller sees the refusal instead of a reset connection.
+func discardBody(ctx *fasthttp.RequestCtx) {
+	r := ctx.RequestBodyStream()
+	if r == nil {
+		return
+	}
+	_ = ctx.Conn().SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, r, discardedBody)
+}
+
 // setBody attaches a body to an outgoing request.
 func setBody(req *fasthttp.Request, b body) {
 	switch b := b.(type) {
--- a/node/caller.go
+++ b/node/caller.go
@@ -55,6 +55,7 @@
 	op := cfg.Operation(name, string(ctx.Method()), pathOnly(target))
 	b, reason := readBody(ctx, service.MaxBody)
 	if reason != call.ReasonNone {
+		discardBody(ctx)
 		ctx.SetConnectionClose()
 		n.refuseCaller(ctx, &op, refusal(reason, call.OutcomeNotRun, service.Line.String()))
 		return
--- a/node/carry.go
+++ b/node/carry.go
@@ -87,8 +87,9 @@
 		if _, ok := result.(refused); !ok || !n.mayRetry(out, result.(refused).refusal) {
 			return result
 		}
-		for _, id := range t.tried {
-			excluded = excluded.With(id)
+		if result.(refused).refusal.Reason != call.ReasonFenced {
+			// After a silent connection the backend server itself is as good as before.
+			excluded = t.excluded
 		}
 		last = result
 		n.metrics.Add("retries", 1, out.op.Service)
@@ -157,7 +158,6 @@
 	results  chan attemptResult
 	states   chan stateAnswer
 	attempts []*launched
-	tried    []string
 	excluded kernel.Set[string]
 	launched int
 	pending  int
@@ -204,7 +204,6 @@
 		return call.ReasonBusy
 	}
 	t.attempts = append(t.attempts, l)
-	t.tried = append(t.tried, chosen.ID)
 	t.excluded = t.excluded.With(chosen.ID)
 	t.launched++
 	t.pending++
--- a/node/node.go
+++ b/node/node.go
@@ -128,6 +128,7 @@
 		_ = n.group.Stop()
 		return nil, Err.Wrap(err)
 	}
+	n.group.Go("first-health", func(ctx context.Context) error { n.checkHealth(ctx); return nil })
 	n.group.Every("admission", admissionTick, 0, n.rand, func(context.Context) { n.gate.tick(n.clock.Now()) })
 	n.group.Every("health", healthInterval, 0.2, n.rand, n.checkHealth)
 	n.group.Every("disconnects", disconnectInterval, 0, n.rand, func(context.Context) { n.watch.check() })
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -26,7 +26,7 @@
 	call.ReasonTicketExpired:   "check with the service whether it ran, then take a new ticket",
 	call.ReasonOwnerGone:       "check with the service whether it ran before ordering again: the node that knew is gone",
 	call.ReasonQuarantined:     "do not send this request again: it crashed backend servers",
-	call.ReasonFenced:          "nothing to do: the attempt was given up before it arrived",
+	call.ReasonFenced:          "send it again: its connection was lost before it arrived",
 	call.ReasonBodyTooLarge:    "send a smaller body, or raise max-body of the service",
 	call.ReasonBodyTooSlow:     "send the body faster, or over a better connection",
 	call.ReasonTooDeep:         "look for a loop in the call graph",
--- /dev/null
+++ b/node/relay_test.go
@@ -0,0 +1,133 @@
+package node_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagelane/kernel"
+	"lovagelane/membership"
+)
+
+// relay passes TCP connections on to an address; it can forget the connections that are open, as a firewall does.
+type relay struct {
+	ln    net.Listener
+	to    string
+	group *kernel.Group
+
+	mu   sync.Mutex
+	open []*silentPair
+}
+
+// silentPair is a connection through the relay.
+type silentPair struct {
+	a, b net.Conn
+
+	mu sync.Mutex
+	// quietUp and quietDown drop what the caller and what the other end sends.
+	quietUp, quietDown bool
+}
+
+func newRelay(t *testing.T, to string) *relay {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r := &relay{ln: ln, to: to, group: kernel.NewGroup(context.Background())}
+	r.group.Go("accept", r.accept)
+	t.Cleanup(func() {
+		_ = ln.Close()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, p := range r.open {
+			_, _ = p.a.Close(), p.b.Close()
+		}
+	})
+	return r
+}
+
+func (r *relay) accept(context.Context) error {
+	for {
+		a, err := r.ln.Accept()
+		if err != nil {
+			return nil
+		}
+		b, err := net.Dial("tcp", r.to)
+		if err != nil {
+			_ = a.Close()
+			continue
+		}
+		p := &silentPair{a: a, b: b}
+		r.mu.Lock()
+		r.open = append(r.open, p)
+		r.mu.Unlock()
+		r.group.Go("up", func(context.Context) error { return p.pass(b, a, &p.quietUp) })
+		r.group.Go("down", func(context.Context) error { return p.pass(a, b, &p.quietDown) })
+	}
+}
+
+func (p *silentPair) pass(to, from net.Conn, quiet *bool) error {
+	b := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			p.mu.Lock()
+			drop := p.quietUp || p.quietDown
+			p.mu.Unlock()
+			if !drop {
+				_ = to.Close()
+			}
+			return nil
+		}
+		p.mu.Lock()
+		drop := *quiet
+		p.mu.Unlock()
+		if !drop {
+			_, _ = to.Write(b[:n])
+		}
+	}
+}
+
+// forget makes every open connection silent from now on; new connections work.
+func (r *relay) forget(up, down bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.open {
+		p.mu.Lock()
+		p.quietUp, p.quietDown = up, down
+		p.mu.Unlock()
+	}
+}
+
+// Guards against a call that is lost, runs twice or waits for its deadline because a connection between nodes went silent.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for name, tc := range map[string]struct{ up, down bool }{
+		"request lost": {up: true, down: true},
+		"answer lost":  {down: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, chainInventory, chainRules)
+			var r *relay
+			w.via = func(m membership.Member) membership.Member {
+				if m.Service == "payments" {
+					if r == nil {
+						r = newRelay(t, m.Calls)
+					}
+					m.Calls = r.ln.Addr().String()
+				}
+				return m
+			}
+			payments := w.station("payments", text("paid"))
+			entry := w.station("nursery", through("nursery", "POST", "/payments/pay"))
+			first := w.send(entry.Addresses().Callers, "GET", "/nursery/x", "")
+			require.Equal(t, "nursery(paid)", string(first.Body()))
+			require.EqualValues(t, 1, payments.ran.Load())
+
+			r.forget(tc.up, tc.down)
+			second := w.send(entry.Addresses().Callers, "GET", "/nursery/x?again", "")
+			require.Equal(t, "nursery(paid)", string(second.Body()))
+			require.EqualValues(t, 2, payments.ran.Load())
+		})
+	}
+}
--- a/node/try.go
+++ b/node/try.go
@@ -181,7 +181,7 @@
 			// The node may be restarting or out of reach for a moment.
 		case state.Running:
 		case state.Outcome == call.OutcomeNotRun:
-			return refused{refusal(call.ReasonNoBackendServer, call.OutcomeNotRun, "")}, true
+			return refused{refusal(call.ReasonFenced, call.OutcomeNotRun, "")}, true
 		case state.Outcome == call.OutcomeRan && !state.Answer.Truncated:
 			return kept{state.Answer}, true
 		default:
@@ -205,7 +205,7 @@
 		l.peer.renew(l.client)
 		t.n.log.Warn("silent-connection", "peer", l.id, "service", t.out.op.Service)
 		t.n.metrics.Add("silent-connections", 1)
-		t.last = worse(t.last, refused{refusal(call.ReasonNoBackendServer, call.OutcomeNotRun, "")})
+		t.last = worse(t.last, refused{refusal(call.ReasonFenced, call.OutcomeNotRun, "")})
 	case call.OutcomeRan:
 		if s.state.Answer.Truncated || s.state.Answer.Status == 0 {
 			return nil, false
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -81,6 +81,8 @@
 	members map[string]membership.Member
 	nodes   map[string]control.Options
 	config  *inventory.Config
+	// via changes the addresses under which a member is announced.
+	via func(membership.Member) membership.Member
 }
 
 // memberControl is the directory as one node sees it.
@@ -96,6 +98,9 @@
 	}
 	d.nodes[o.Self.ID] = o
 	d.members[o.Self.ID] = o.Self
+	if d.via != nil {
+		d.members[o.Self.ID] = d.via(o.Self)
+	}
 	d.mu.Unlock()
 	o.OnConfig(d.config)
 	d.publish()
