Add settings, the command line, and tests of the inventory

Cause: operators need check, plan and explain before anything is deployed, and a node needs settings that fail with file, line and remedy. Change: settings are read on the same strict reader, from a file or from LOVAGELANE_SETTINGS. Whole-file problem tables, rapid properties and fuzz targets; the property that every setting has its line found that a request's rank named the line of the class section, which is corrected with Class.RankLine. A repeated section or one with too many names no longer also reports its missing keys. Conclusion: apply, status, drain and report can be added in the same shape.

--- a/cmd/lovagelane/main.go
+++ b/cmd/lovagelane/main.go
@@ -2,11 +2,11 @@
 package main
 
 import (
-	"fmt"
 	"os"
+
+	"lovagelane/command"
 )
 
 func main() {
-	fmt.Fprintln(os.Stderr, "lovagelane: no command yet")
-	os.Exit(2)
+	os.Exit(command.Run(os.Args[1:], &command.Env{Out: os.Stdout, Err: os.Stderr}))
 }
--- /dev/null
+++ b/command/command_test.go
@@ -0,0 +1,132 @@
+package command_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagelane/command"
+	"lovagelane/settings"
+)
+
+const (
+	oldInventory = "[region rn]\n[availability-zone rn-1]\nregion = rn\n[service maps]\ntimeout = 2s\nslots = 7\nconnections = 9\n" +
+		"[backend-servers maps rn-1]\ncount = 1\n"
+	rules = "[class lookups]\nrank = 6\ndefault = yes\n"
+)
+
+func dir(t *testing.T, inventory, rules string) string {
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "inventory.ini"), []byte(inventory), 0o600))
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "rules.ini"), []byte(rules), 0o600))
+	return dir
+}
+
+func run(args ...string) (code int, out, err string) {
+	var stdout, stderr bytes.Buffer
+	code = command.Run(args, &command.Env{Out: &stdout, Err: &stderr})
+	return code, stdout.String(), stderr.String()
+}
+
+// Guards against exit codes and results that differ from what the help documents.
+func TestCommands(t *testing.T) {
+	old := dir(t, oldInventory, rules)
+	next := dir(t, strings.Replace(oldInventory, "slots = 7", "slots = 8", 1), rules)
+	bad := dir(t, strings.Replace(oldInventory, "timeout = 2s", "timeout = 2", 1), rules)
+	problem := bad + "/inventory.ini:5: timeout = 2 has no unit: add the unit: s or ms\n"
+	for _, c := range []struct {
+		args     string
+		code     int
+		out, err string
+	}{
+		{"check " + old, command.CodeOK, "ok: 1 services, 0 requests, no problems\n", ""},
+		{"check " + bad, command.CodeProblem, problem, ""},
+		{"check --format=yaml " + old, command.CodeUsage, "",
+			"lovagelane: enum value must be one of text,json, got 'yaml': try lovagelane --help\n"},
+		{"check " + old + "/none", command.CodeUsage, "", "lovagelane: path '" + old + "/none' does not exist: try lovagelane --help\n"},
+		{"plan --from=" + old + " " + old, command.CodeOK, "no changes\n", ""},
+		{"plan --from=" + old + " " + next, command.CodeOK, "~ service maps slots: 7 -> 8 (inventory.ini:6)\n" +
+			"~ backend-servers maps rn-1 slots: 7 -> 8 (inventory.ini:6)\n", ""},
+		{"plan --from=" + bad + " " + next, command.CodeProblem, "", problem},
+		{"explain --dir=" + old + " backend-servers maps rn-1", command.CodeOK, "inventory.ini:8: [backend-servers maps rn-1]\n" +
+			"inventory.ini:9: backend-servers maps rn-1 count = 1 (stated)\n" +
+			"inventory.ini:6: backend-servers maps rn-1 slots = 7 (inherited)\n" +
+			"inventory.ini:7: backend-servers maps rn-1 connections = 9 (inherited)\n", ""},
+		{"explain --dir=" + old + " service.map", command.CodeProblem, "",
+			"lovagelane: there is no setting \"service.map\": name a section of the files, as in service nursery\n"},
+		{"weather", command.CodeUsage, "", "lovagelane: expected command but got \"weather\": try lovagelane --help\n"},
+	} {
+		code, out, err := run(strings.Fields(c.args)...)
+		require.Equal(t, c, struct {
+			args     string
+			code     int
+			out, err string
+		}{c.args, code, out, err})
+	}
+}
+
+// Guards against JSON that scripts cannot read, and against an empty list that is written as null.
+func TestJSON(t *testing.T) {
+	old := dir(t, oldInventory, rules)
+	for args, want := range map[string]string{
+		"check --format=json " + old:                   `{"ok":true,"problems":[]}`,
+		"plan --format=json --from=" + old + " " + old: `{"changes":[]}`,
+		"explain --format=json --dir=" + old + " availability-zone rn-1 region": `{"settings":[{"subject":{"section":"availability-zone rn-1",
+			"place":"rn-1"},"key":"region","value":"rn","at":{"file":"inventory.ini","line":3},"source":"stated"}]}`,
+	} {
+		code, out, err := run(strings.Fields(args)...)
+		require.Equal(t, command.CodeOK, code, err)
+		require.JSONEq(t, want, out)
+	}
+	bad := dir(t, oldInventory, "")
+	code, out, _ := run("check", "--format=json", bad)
+	require.Equal(t, command.CodeProblem, code)
+	var report struct{ Problems []map[string]any }
+	require.NoError(t, json.Unmarshal([]byte(out), &report))
+	require.Len(t, report.Problems, 1)
+}
+
+// Guards against help that ends in a run of the command, and against commands without examples or exit codes.
+func TestHelp(t *testing.T) {
+	code, out, err := run()
+	require.Equal(t, command.CodeUsage, code)
+	require.Empty(t, out)
+	require.Contains(t, err, "Exit codes: 0 done")
+	for _, name := range command.Commands.Names() {
+		code, out, err := run(name, "--help")
+		require.Equal(t, command.CodeOK, code, err)
+		require.Contains(t, out, "Examples:\n\n  lovagelane "+name)
+		require.Contains(t, out, "Exit codes: 0 ")
+		require.NotContains(t, out, "\x1b")
+	}
+}
+
+// Guards against a node that starts with settings that have problems, or whose failure is not in the exit code.
+func TestNode(t *testing.T) {
+	text := "[node]\nservice = maps\navailability-zone = rn-1\nbackend-server = 127.0.0.1:1\ncallers-listen = 127.0.0.1:2\n" +
+		"backend-listen = 127.0.0.1:3\ncalls-listen = 127.0.0.1:4\ncontrol-listen = 127.0.0.1:4\nstore = http://127.0.0.1:5\n" +
+		"[keys]\ncertificate = a\nkey = b\nauthority = c\nticket-key = d\n"
+	var started []string
+	command.RunNode = func(n settings.Node) error {
+		started = append(started, n.Service)
+		return os.ErrPermission
+	}
+	t.Cleanup(func() { command.RunNode = nil })
+	t.Setenv(settings.Variable, text)
+	code, _, err := run("node")
+	require.Equal(t, command.CodeProblem, code)
+	require.Equal(t, "lovagelane: permission denied\n", err)
+	code, out, _ := run("node", "--check")
+	require.Equal(t, command.CodeOK, code)
+	require.Equal(t, "ok: node of service maps in rn-1\n", out)
+	t.Setenv(settings.Variable, text+"key = e\n")
+	code, _, err = run("node")
+	require.Equal(t, command.CodeProblem, code)
+	require.Equal(t, "LOVAGELANE_SETTINGS:15: key is set twice in [keys]: keep one of the lines 12 and 15\n", err)
+	require.Equal(t, []string{"maps"}, started)
+}
--- a/inventory/config.go
+++ b/inventory/config.go
@@ -82,6 +82,8 @@
 	// Default marks the class of requests that no rule matches.
 	Default bool
 	Line    Line
+	// RankLine is the line that the rank came from.
+	RankLine Line
 	// DefaultLine is the line that made the class the default.
 	DefaultLine Line
 }
--- a/inventory/config_test.go
+++ b/inventory/config_test.go
@@ -1,6 +1,7 @@
 package inventory_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -150,3 +151,22 @@
 		require.Len(t, cfg.Groups(), 24)
 	}
 }
+
+// BenchmarkOperation looks up requests among 37 services with 40 rules each.
+func BenchmarkOperation(b *testing.B) {
+	inv := "[region rn]\n[availability-zone rn-1]\nregion = rn\n"
+	rules := "[class lookups]\nrank = 6\ndefault = yes\n"
+	for s := range 37 {
+		inv += fmt.Sprintf("[service s%d]\ntimeout = 2s\nslots = 1\nconnections = 1\n[backend-servers s%d rn-1]\ncount = 1\n", s, s)
+		for r := range 20 {
+			rules += fmt.Sprintf("[request a%d-%d]\nservice = s%d\nclass = lookups\nmethod = GET\npath = /%d/*\n", s, r, s, r)
+			rules += fmt.Sprintf("[request b%d-%d]\nservice = s%d\nclass = lookups\nmethod = POST\npath = /%d\n", s, r, s, r)
+		}
+	}
+	cfg, problems := inventory.Parse(files(inv, rules))
+	require.Empty(b, problems)
+	b.ReportAllocs()
+	for b.Loop() {
+		cfg.Operation("s36", "GET", "/19/orders")
+	}
+}
--- a/inventory/explain.go
+++ b/inventory/explain.go
@@ -43,12 +43,12 @@
 func (s Setting) Name() string { return strings.TrimSpace(s.Subject.Section + " " + s.Key) }
 
 // Explain returns the settings whose name is the given one or begins with its words; words may be separated by spaces or
-// dots, as in "service nursery timeout" or "service.nursery".
+// dots, as in "service nursery timeout" or "service.nursery". The empty name stands for all settings.
 func (c *Config) Explain(name string) []Setting {
 	words := strings.Join(strings.FieldsFunc(name, func(r rune) bool { return r == ' ' || r == '.' }), " ")
 	var found []Setting
 	for _, s := range c.settings {
-		if strings.HasPrefix(s.Name()+" ", words+" ") {
+		if words == "" || strings.HasPrefix(s.Name()+" ", words+" ") {
 			found = append(found, s)
 		}
 	}
--- a/inventory/parse.go
+++ b/inventory/parse.go
@@ -284,9 +284,9 @@
 	if name == "" || slices.Contains(names, name) {
 		return
 	}
-	remedy := fmt.Sprintf("add a [%s %s] section", strings.ReplaceAll(what, " ", "-"), name)
+	remedy := fmt.Sprintf("add a section [%s %s]", strings.ReplaceAll(what, " ", "-"), name)
 	if len(names) > 0 && len(names) <= maxNamesShown {
-		remedy += " or use one of " + strings.Join(names, ", ")
+		remedy += ", or use one of " + strings.Join(names, ", ")
 	}
 	b.Add(s.LineOf(key), fmt.Sprintf("there is no %s %s", what, name), remedy)
 }
--- a/inventory/rules.go
+++ b/inventory/rules.go
@@ -23,7 +23,13 @@
 
 func (b *builder) readClasses(sections []setting.Section) {
 	for _, s := range sections {
-		c := Class{Name: s.Names[0], Rank: uint8(b.Int(s, "rank", 1, call.MaxRank)), Default: b.Bool(s, "default"), Line: s.Line}
+		c := Class{
+			Name:     s.Names[0],
+			Rank:     uint8(b.Int(s, "rank", 1, call.MaxRank)),
+			Default:  b.Bool(s, "default"),
+			Line:     s.Line,
+			RankLine: s.LineOf("rank"),
+		}
 		if c.Default {
 			c.DefaultLine = s.LineOf("default")
 			if b.defaultClass.Default {
@@ -92,7 +98,7 @@
 	b.noteKey(sub, s, "method", r.Method)
 	b.noteKey(sub, s, "path", r.Path)
 	b.noteKey(sub, s, "class", op.Class)
-	b.noteFrom(sub, "rank", fmt.Sprint(op.Rank), class.Line, SourceInherited)
+	b.noteFrom(sub, "rank", fmt.Sprint(op.Rank), class.RankLine, SourceInherited)
 	b.noteKey(sub, s, "non-idempotent", yesNo(op.NonIdempotent))
 	b.noteKey(sub, s, "timeout", op.Timeout.String())
 	if entry, ok := b.service[op.Service]; ok {
--- a/setting/schema.go
+++ b/setting/schema.go
@@ -39,28 +39,33 @@
 			r.problems.Add(s.Line, fmt.Sprintf("unknown section [%s]", s.Header()), "use one of "+headers(kinds))
 			continue
 		}
+		k := kinds[i]
+		r.checkUnknownKeys(s, k)
+		if len(s.Names) != len(k.Names) {
+			r.problems.Add(s.Line, fmt.Sprintf("[%s] has %d names", s.Header(), len(s.Names)), "write "+k.header())
+			continue
+		}
 		if at, ok := first[s.Header()]; ok {
 			r.problems.Add(s.Line, fmt.Sprintf("[%s] is stated twice", s.Header()),
 				fmt.Sprintf("merge it into line %d", at.Number))
 		} else {
 			first[s.Header()] = s.Line
-		}
-		r.checkKeys(s, kinds[i])
-		if len(s.Names) != len(kinds[i].Names) {
-			r.problems.Add(s.Line, fmt.Sprintf("[%s] has %d names", s.Header(), len(s.Names)), "write "+kinds[i].header())
-			continue
+			r.checkMissingKeys(s, k)
 		}
 		known = append(known, s)
 	}
 	return known
 }
 
-func (r *reader) checkKeys(s Section, k Kind) {
+func (r *reader) checkUnknownKeys(s Section, k Kind) {
 	for _, key := range s.keys {
 		if !slices.Contains(k.keys(), key) {
 			r.problems.Add(s.found[key].Line, fmt.Sprintf("unknown key %s in [%s]", key, s.Header()), allowed(k))
 		}
 	}
+}
+
+func (r *reader) checkMissingKeys(s Section, k Kind) {
 	for _, key := range k.Required {
 		if _, ok := s.found[key]; !ok {
 			r.problems.Add(s.Line, fmt.Sprintf("[%s] has no %s", s.Header(), key), fmt.Sprintf("add a line %s = ...", key))
--- /dev/null
+++ b/setting/setting_test.go
@@ -0,0 +1,82 @@
+package setting_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lovagelane/setting"
+)
+
+var kinds = []setting.Kind{{Name: "node", Required: []string{"service"}, Optional: []string{"store"}}, {Name: "keys"}}
+
+func read(text string) ([]setting.Section, setting.Problems) {
+	return setting.Read("node.ini", text, kinds)
+}
+
+// Guards against values that the library reads otherwise than the line index expects.
+func TestValues(t *testing.T) {
+	for written, want := range map[string]string{
+		"maps":              "maps",
+		"  maps\t":          "maps",
+		"maps # at dunes":   "maps",
+		"maps ; at dunes":   "maps",
+		"http://10.1/#x":    "http://10.1/#x",
+		"a = b":             "a = b",
+		`maps \`:            `maps \`,
+		"%(store)s [keys]":  "%(store)s [keys]",
+		"it's \"quoted\" `": "it's \"quoted\" `",
+		"# 1":               "# 1",
+	} {
+		sections, problems := read("\ufeff# comment\r\n\n[node] # [comment]\r\n service =" + written + "\r\nstore = x")
+		require.Empty(t, problems)
+		v, ok := sections[0].Value("service")
+		require.True(t, ok)
+		require.Equal(t, want, v.Text)
+		require.Equal(t, setting.Line{File: "node.ini", Number: 4}, v.Line)
+		require.Equal(t, setting.Line{File: "node.ini", Number: 3}, sections[0].Line)
+	}
+}
+
+// Guards against a file that is read although a node could not pass it on, and against a limit that is one byte off.
+func TestSize(t *testing.T) {
+	text := "[node]\nservice = maps\n#"
+	text += strings.Repeat("x", setting.MaxText-len(text))
+	_, problems := read(text)
+	require.Empty(t, problems)
+	_, problems = read(text + "x")
+	require.Equal(t, "node.ini:1: the file has 262145 bytes: keep it within 262144 bytes", problems.Error())
+}
+
+// Guards against sizes that change when they are written and read again.
+func TestBytesRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.Int64Range(1, 1<<30).Draw(t, "n")
+		sections, problems := read("[node]\nservice = " + setting.FormatBytes(n))
+		require.Empty(t, problems)
+		var c setting.Collector
+		require.Equal(t, n, c.Bytes(sections[0], "service", 1<<30))
+		require.Empty(t, c.Problems)
+	})
+}
+
+// Guards against input that makes the reader panic, and against an accepted line whose value the library did not read.
+func FuzzRead(f *testing.F) {
+	f.Add("[node]\nservice = maps # x\nstore = \"y\"\n[keys]")
+	f.Add("[node\n[node] x]\n-=1\n\"\"\"a\"\"\"=b\nservice=`a\nb`\n[node]\nservice=\\\nstore=\xff\x00")
+	f.Fuzz(func(t *testing.T, text string) {
+		sections, problems := read(text)
+		lines := strings.Split(strings.TrimPrefix(text, "\ufeff"), "\n")
+		for _, s := range sections {
+			require.True(t, strings.HasPrefix(strings.TrimSpace(lines[s.Line.Number-1]), "["))
+			for _, key := range []string{"service", "store"} {
+				if v, ok := s.Value(key); ok && len(problems) == 0 {
+					require.NotEmpty(t, v.Text)
+					require.Contains(t, lines[v.Line.Number-1], v.Text)
+				}
+			}
+		}
+	})
+}
