Steady the admission level and the learned limit

Change: the level tightens when the queue stays above twice the limit for a window, and rises faster while slots are idle; nothing is learned from windows in which no call finished. The learned limit needs two slow windows in a row, and restores itself when lowering it by half did not help.

Single-slot backend servers are below the target at 2x.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -72,6 +72,9 @@
 	windowInterval = 50 * time.Millisecond
 	// delayTarget is the time in the queue after which a call that the level no longer admits is dropped.
 	delayTarget = 5 * time.Millisecond
+	// standingQueue is the length of the queue, as a multiple of the limit, that must remain for a whole window before the
+	// level tightens. With 1 instead of 2, backend servers with few slots lost 10% of their goodput.
+	standingQueue = 2
 	// queuePerSlot bounds the queue as a multiple of the limit.
 	queuePerSlot = 4
 )
@@ -107,6 +110,9 @@
 	inUse, usable int
 }
 
+// use returns the part of the usable slots that was in use.
+func (w window) use() float64 { return min(1, float64(w.inUse)/float64(max(w.usable, 1))) }
+
 // New returns a controller for the given bounds, or an error for an unknown limiter.
 func New(cfg Config) (*Controller, error) {
 	name := cfg.Limiter
@@ -330,8 +336,8 @@
 	if now.Sub(c.window.began) < windowInterval {
 		return
 	}
-	// A queue as long as the limit delays a call by about its own service time. A shorter one keeps the slots in use.
-	c.level.move(c.window, c.window.shortest > c.limit(now))
+	// A shorter queue keeps the slots in use and delays a call by no more than about twice its own service time.
+	c.level.move(c.window, c.window.shortest > standingQueue*c.limit(now))
 	c.window = window{began: now, saturated: c.running.len() >= c.learnedLimit(), shortest: c.queue.len()}
 }
 
--- a/admission/learned.go
+++ b/admission/learned.go
@@ -7,25 +7,32 @@
 )
 
 const (
-	// minSamples and maxSamples bound the calls whose median decides on one change of the limit.
-	minSamples = 10
-	maxSamples = 64
+	// minSamples and maxSamples bound the calls whose median decides on one change of the limit; startSamples is enough
+	// while the limit doubles.
+	startSamples = 10
+	minSamples   = 20
+	maxSamples   = 64
 	// slowWindow closes a window with fewer samples (at least fewSamples) on a backend server with little traffic.
 	slowWindow = 200 * time.Millisecond
 	fewSamples = 5
 	// tolerance is how many times the unloaded latency the median may be. Medians of few samples vary by a third, so a
 	// smaller value lowers the limit without cause.
 	tolerance = 2.0
+	// suspicions is the number of windows in a row that must be too slow before the limit is lowered; a single one is
+	// often chance.
+	suspicions = 2
+	// lowerGain is the part by which a faster window lowers the unloaded latency. It is below 1, because the least of many
+	// medians is far below the typical one.
+	lowerGain = 0.25
 	// minShrink is the least factor that one window applies to the limit.
 	minShrink = 0.5
 	// trialShrink is how far the limit must have gone down before it is judged whether that helped.
-	trialShrink = 0.7
+	trialShrink = 0.5
 	// helped is the latency, relative to that before the reduction, below which the reduction helped. If concurrency
 	// were the cause, the latency would have fallen to about trialShrink.
-	helped = 0.85
-	// firstLimit and firstShare give the limit of a cold backend server.
-	firstLimit = 4
-	firstShare = 8
+	helped = 0.8
+	// firstLimit is the limit of a cold backend server. The first window gives the unloaded latency, so it must be small.
+	firstLimit = 8
 )
 
 func init() {
@@ -35,7 +42,7 @@
 // learned adjusts the limit by the gradient between the unloaded latency and the median of the latest calls.
 type learned struct {
 	limit float64
-	// healthy is the highest limit that is worth doubling to; beyond it the limit grows by its square root.
+	// healthy is the limit up to which the limit doubles; beyond it it grows by its square root.
 	healthy float64
 	// base is the median latency of the unloaded backend server.
 	base    float64
@@ -44,7 +51,10 @@
 	// changed is when the limit last changed; calls started earlier tell nothing about the new one.
 	changed   time.Time
 	saturated bool
-	trial     trial
+	// slow is the number of windows in a row that were too slow, and least is the least median among them.
+	slow  int
+	least float64
+	trial trial
 }
 
 // trial remembers the state before a reduction, to judge whether it helped.
@@ -55,7 +65,7 @@
 
 func (l *learned) Limit(slots int) int {
 	if l.limit == 0 {
-		return min(slots, max(firstLimit, slots/firstShare))
+		return min(slots, firstLimit)
 	}
 	return max(1, min(slots, int(l.limit)))
 }
@@ -75,6 +85,9 @@
 	l.samples = append(l.samples, o.Latency)
 	l.saturated = l.saturated || o.Saturated
 	enough := max(minSamples, min(maxSamples, int(l.limit)))
+	if l.limit < l.healthy && l.slow == 0 {
+		enough = startSamples
+	}
 	if len(l.samples) >= enough || len(l.samples) >= fewSamples && o.Now.Sub(l.began) >= slowWindow {
 		l.adjust(o)
 	}
@@ -87,18 +100,18 @@
 	if l.base == 0 {
 		l.base = median
 	}
-	if median < l.base {
-		l.base = (l.base + median) / 2
-	}
+	l.base += min(0, median-l.base) * lowerGain
 	// A limit that was not reached cannot be the cause of slow calls and needs no growth.
 	if !l.saturated {
+		l.slow = 0
 		return
 	}
 	before := l.limit
 	if median <= tolerance*l.base {
+		l.slow = 0
 		l.grow()
 	} else {
-		l.shrink(median)
+		l.suspect(median)
 	}
 	l.limit = max(1, min(float64(o.Slots), l.limit))
 	if int(l.limit) != int(before) {
@@ -116,6 +129,16 @@
 	l.healthy = l.limit
 }
 
+func (l *learned) suspect(median float64) {
+	if l.slow == 0 || median < l.least {
+		l.least = median
+	}
+	if l.slow++; l.slow >= suspicions {
+		l.slow = 0
+		l.shrink(l.least)
+	}
+}
+
 // shrink lowers the limit. When that did not lower the latency, something else slowed the backend server down: its present
 // latency is taken for the unloaded one and the limit is restored, so that the limit cannot stay low.
 func (l *learned) shrink(median float64) {
@@ -128,7 +151,7 @@
 			return
 		}
 		l.trial = trial{limit: l.limit, latency: median}
-		l.healthy = l.limit
 	}
 	l.limit *= max(minShrink, tolerance*l.base/median)
+	l.healthy = l.limit
 }
--- a/admission/level.go
+++ b/admission/level.go
@@ -23,6 +23,8 @@
 	servedFloor = 0.95
 	// minUse is the least use of the slots from which the capacity is extrapolated.
 	minUse = 0.7
+	// idleUse is the use of the slots below which the level may move faster.
+	idleUse = 0.85
 	// firstStep is the first step, in keys, of a level that rises beyond every observed arrival; the step doubles.
 	firstStep = 16
 	// calmWindows is how long the level must be open before the quota is forgotten.
@@ -56,13 +58,16 @@
 
 // move adjusts the level at the end of a window.
 func (l *level) move(w window, standing bool) {
-	l.admitted = l.admitted*decay + float64(w.admitted)
-	l.served = l.served*decay + float64(w.served)
 	l.overloaded = standing || w.dropped > 0
-	if l.overloaded {
-		l.tighten(w)
-	} else {
-		l.relax(w)
+	// During a stall the queue fills, but that says nothing about the capacity afterwards.
+	if w.served > 0 || !l.overloaded {
+		l.admitted = l.admitted*decay + float64(w.admitted)
+		l.served = l.served*decay + float64(w.served)
+		if l.overloaded {
+			l.tighten(w)
+		} else {
+			l.relax(w)
+		}
 	}
 	l.place()
 }
@@ -70,8 +75,7 @@
 func (l *level) tighten(w window) {
 	l.idle, l.calm = 0, 0
 	part := min(maxDecrease, max(decrease, float64(w.dropped)/float64(max(w.admitted, 1))))
-	use := max(minUse, min(1, float64(w.inUse)/float64(max(w.usable, 1))))
-	l.quota = max(min(l.quota, l.admitted)*(1-part), l.served/use*servedFloor, 1)
+	l.quota = max(min(l.quota, l.admitted)*(1-part), l.served/max(minUse, w.use())*servedFloor, 1)
 }
 
 func (l *level) relax(w window) {
@@ -79,7 +83,7 @@
 		return
 	}
 	part := increase
-	if w.saturated {
+	if w.use() >= idleUse {
 		l.idle = 0
 	} else {
 		part *= float64(int(1) << min(l.idle, maxDoublings))
