--- /dev/null
+++ b/cmd/demo/check.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"lovagelane/standin"
+	"lovagelane/testbed"
+)
+
+const (
+	// importantShare is the share of payments and orders that must be answered in overload.
+	importantShare = 0.99
+	// shedShare is the share of map reloads and weather that must be shed for the run to count as an overload.
+	shedShare = 0.3
+	// movedGain is by how much the answered share of weather must grow when it moves to a more important class.
+	movedGain = 0.2
+)
+
+// check is one thing that must hold.
+type check struct {
+	ok             bool
+	what, measured string
+}
+
+func (d *demo) check(ok bool, what, measured string) {
+	d.checks = append(d.checks, check{ok, what, measured})
+}
+
+func (d *demo) failed() bool {
+	for _, c := range d.checks {
+		if !c.ok {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *demo) printChecks() {
+	fmt.Println()
+	for _, c := range d.checks {
+		word := "ok    "
+		if !c.ok {
+			word = "FAILED"
+		}
+		fmt.Printf("%s  %s (%s)\n", word, c.what, strings.TrimSpace(c.measured))
+	}
+	fmt.Printf("ended after %.1f s\n", time.Since(d.started).Seconds())
+}
+
+func (d *demo) printTable(title string, results *standin.Results) {
+	fmt.Printf("\n%s\n", title)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "request\tclass\tsent\tserved\tshed\trefused\tfailed\tunknown\tlate\tp50 ms\tp99 ms\t")
+	for i, k := range results.Kinds() {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", k.Kind, kinds[i].class, k.Sent, k.Answered, k.Shed,
+			k.Refused, k.Failed, k.Unknown, k.Late, ms(k.Quantile(50)), ms(k.Quantile(99)))
+	}
+	_ = w.Flush()
+	for _, k := range results.Kinds() {
+		if reasons := k.Reasons; len(reasons) > 0 {
+			fmt.Printf("  %s: %v\n", k.Kind, reasons)
+		}
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func percent(share float64) string { return fmt.Sprintf("%.2f%%", 100*share) }
+
+func share(results *standin.Results, kind string) float64 { return results.Kind(kind).Share() }
+
+// checkUsual checks that orders were answered and that each ran in three services.
+func (d *demo) checkUsual(usual *standin.Results, ran map[string][]standin.Ran) {
+	orders := usual.Kind(kindOrders).Answered
+	d.check(orders > 0 && share(usual, kindOrders) >= importantShare, "orders are answered under the usual load",
+		percent(share(usual, kindOrders)))
+	chain := 0
+	for service, path := range map[string]string{"nursery": "/orders", "imagery": "/proofs", "payments": "/holds"} {
+		if starts(ran[service], path, "order-usual-") >= orders {
+			chain++
+		}
+	}
+	d.check(chain == 3, "each answered order passed through three services", fmt.Sprintf("%d orders, %d services", orders, chain))
+}
+
+// starts counts the orders with a prefix that ran on a path.
+func starts(all []standin.Ran, path, prefix string) int {
+	n := 0
+	for _, r := range all {
+		for key := range r.Orders {
+			if strings.HasPrefix(key, path+" "+prefix) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (d *demo) checkOverload(before, after *standin.Results) {
+	for _, phase := range []struct {
+		name    string
+		results *standin.Results
+	}{{"before the change", before}, {"after the change", after}} {
+		for _, name := range []string{kindPayments, kindOrders} {
+			s := share(phase.results, name)
+			d.check(s >= importantShare, name+" are answered in overload "+phase.name, percent(s))
+		}
+	}
+	maps, weather, uploads := share(before, kindMaps), share(before, kindWeather), share(before, kindUploads)
+	lower := before.Kind(kindMaps)
+	background := before.Kind(kindWeather)
+	shed := float64(lower.Shed+background.Shed) / float64(lower.Sent+background.Sent)
+	d.check(shed >= shedShare, "lower classes are shed in overload", percent(shed)+" of map reloads and weather")
+	d.check(weather <= maps, "weather (rank 10) is shed before map reloads (rank 8)",
+		fmt.Sprintf("answered %s and %s", percent(weather), percent(maps)))
+	d.check(maps <= uploads, "map reloads (rank 8) are shed before uploads (rank 4)",
+		fmt.Sprintf("answered %s and %s", percent(maps), percent(uploads)))
+	moved := share(after, kindWeather)
+	d.check(moved >= weather+movedGain, "the changed class takes effect",
+		fmt.Sprintf("weather answered %s, then %s", percent(weather), percent(moved)))
+}
+
+// checkOnce checks that no order started twice in any service, over all its backend servers.
+func (d *demo) checkOnce(ran map[string][]standin.Ran) {
+	orders, twice := 0, 0
+	for _, all := range ran {
+		counts := map[string]int{}
+		for _, r := range all {
+			for key, n := range r.Orders {
+				counts[key] += n
+			}
+		}
+		for _, n := range counts {
+			orders++
+			if n > 1 {
+				twice++
+			}
+		}
+	}
+	d.check(orders > 0 && twice == 0, "no order ran twice", fmt.Sprintf("%d of %d starts", twice, orders))
+}
+
+// checkNotRun checks that no request ran, in any service, of which every send was refused as "not run".
+func (d *demo) checkNotRun(ran map[string][]standin.Ran, results ...*standin.Results) {
+	started := map[string]bool{}
+	for _, all := range ran {
+		for _, r := range all {
+			for key := range r.Requests {
+				_, id, _ := strings.Cut(key, " ")
+				started[id] = true
+			}
+		}
+	}
+	refused, wrong := 0, 0
+	for _, r := range results {
+		for _, id := range r.NotRun() {
+			refused++
+			if started[id] {
+				wrong++
+			}
+		}
+	}
+	d.check(wrong == 0, `nothing refused as "not run" ran`, fmt.Sprintf("%d of %d refused", wrong, refused))
+}
+
+func (d *demo) checkEnded(e testbed.Ended) {
+	d.check(len(e.Running)+len(e.Killed)+len(e.Failed) == 0, "every process stopped by itself",
+		fmt.Sprintf("%d processes; killed %v, failed %v, running %v", e.Processes, e.Killed, e.Failed, e.Running))
+}
--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,54 @@
+// Command demo runs a small deployment on loopback, overloads it, changes its configuration and checks what must hold.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func main() {
+	app := kingpin.New("demo", "Overloads a small deployment on loopback and checks what must hold.")
+	seed := app.Flag("seed", "Seed of the load.").Default("1").Uint64()
+	keep := app.Flag("keep", "Keep the directory with settings and logs.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, *seed, *keep); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+// run stops every process also when a step failed or Ctrl-C ended it.
+func run(ctx context.Context, seed uint64, keep bool) error {
+	bin, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	d := &demo{seed: seed, started: time.Now()}
+	if err = d.start(ctx, filepath.Dir(bin)); err == nil {
+		err = d.play(ctx)
+	}
+	if d.bed == nil {
+		return err
+	}
+	ended := d.bed.Stop()
+	d.checkEnded(ended)
+	d.printChecks()
+	if err == nil && d.failed() {
+		err = errors.New("a check failed")
+	}
+	if err != nil || keep {
+		fmt.Println("settings and logs are in", d.bed.Dir())
+		return err
+	}
+	return d.bed.Remove()
+}
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -58,6 +58,8 @@
 	Name string
 	// StateResends sends Lovagelane-Resend, as a caller does that keeps to the protocol.
 	StateResends bool
+	// Observe is called with each result, from several goroutines at once.
+	Observe func(Result)
 
 	mu      sync.Mutex
 	clients map[string]*fasthttp.HostClient
@@ -95,8 +97,11 @@
 			first: rand.IntN(len(c.Addresses)), arrival: start.Add(at)}
 		g.Go("request", func(context.Context) error {
 			res := r.run()
-			res.Done = time.Since(start)
+			res.Arrived, res.Done = r.arrival.Sub(start), time.Since(start)
 			results.Add(res)
+			if c.Observe != nil {
+				c.Observe(res)
+			}
 			return nil
 		})
 	}
--- a/standin/result.go
+++ b/standin/result.go
@@ -48,8 +48,8 @@
 	// Sends counts the sends, without the ones that only fetched a ticket.
 	Sends   int
 	Latency time.Duration
-	// Done is the time after the start of the load at which the request ended.
-	Done time.Duration
+	// Arrived and Done are the times after the start of the load at which the request arrived and ended.
+	Arrived, Done time.Duration
 }
 
 // KindResults add up the results of one kind of request.
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -205,8 +205,8 @@
 	return []string{"apply", dir, "--store", b.Store}
 }
 
-// Ready waits until each node has the configuration version in force and sees all backend servers serving.
-func (b *Bed) Ready(ctx context.Context, version uint64) error {
+// Up waits until the backend servers are healthy and the nodes answer, before any configuration is applied.
+func (b *Bed) Up(ctx context.Context) error {
 	for _, p := range b.Places {
 		if err := Until(ctx, "backend server of "+p.Service, p.healthy); err != nil {
 			return err
@@ -214,6 +214,20 @@
 		if p.Node == nil {
 			continue
 		}
+		err := Until(ctx, "node of "+p.Service, func(ctx context.Context) error {
+			_, err := p.Status(ctx)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Ready waits until each node has the configuration version in force and sees all backend servers serving.
+func (b *Bed) Ready(ctx context.Context, version uint64) error {
+	for _, p := range b.Places {
 		err := Until(ctx, "node of "+p.Service, func(ctx context.Context) error {
 			return p.ready(ctx, version, len(b.Places))
 		})
