--- a/balance/peer.go
+++ b/balance/peer.go
@@ -57,11 +57,11 @@
 	latency  float64
 	observed time.Time
 
-	load     float64
-	loadAt   time.Time
-	level    uint16
-	levelAt  time.Time
-	refusals float64
+	load      float64
+	loadAt    time.Time
+	level     uint16
+	levelAt   time.Time
+	refusals  float64
 	refusedAt time.Time
 
 	avoided   bool
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,74 @@
+// Command bench measures the targets of the design against baselines, on a deployment of real processes on loopback.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// defaultSeed makes runs comparable.
+const defaultSeed = 20261204
+
+// part is a sub-benchmark.
+type part struct {
+	name, what string
+	run        func(ctx context.Context, b *bench) error
+}
+
+var parts = []part{
+	{"overhead", "time that nodes add to a call", runOverhead},
+	{"overload", "goodput at 2x and 5x capacity", runOverload},
+	{"recovery", "time to recover after a surge with callers that retry hard", runRecovery},
+	{"swing", "service at the crest of a 10x swing", runSwing},
+	{"stragglers", "short calls among stragglers", runStragglers},
+	{"slowed", "tail latency with one backend server in six slowed", runSlowed},
+	{"control", "control cost of a node", runControl},
+}
+
+func main() {
+	var names []string
+	for _, p := range parts {
+		names = append(names, p.name)
+	}
+	app := kingpin.New("bench", "Measures the targets of the design against baselines.")
+	chosen := app.Arg("part", "Parts to run: "+strings.Join(names, ", ")+". Default: all.").Enums(names...)
+	seed := app.Flag("seed", "Seed of the load.").Default(fmt.Sprint(defaultSeed)).Uint64()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	bin, err := os.Executable()
+	app.FatalIfError(err, "find the programs")
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	b := &bench{bin: filepath.Dir(bin), seed: *seed}
+	fmt.Printf("seed %d\n\n", *seed)
+	failed := false
+	for _, p := range parts {
+		if len(*chosen) > 0 && !slices.Contains(*chosen, p.name) {
+			continue
+		}
+		start := time.Now()
+		fmt.Printf("## %s: %s\n\n", p.name, p.what)
+		b.rows = nil
+		err := p.run(ctx, b)
+		b.printRows(os.Stdout)
+		if err != nil {
+			failed = true
+			fmt.Printf("not finished: %v\n\n", err)
+		}
+		fmt.Printf("took %.0f s\n\n", time.Since(start).Seconds())
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if failed {
+		os.Exit(1)
+	}
+}
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -195,6 +195,8 @@
 	reason string
 	notRun bool
 	ticket string
+	// straggler tells that the work itself was long.
+	straggler bool
 }
 
 // run sends the request until it is answered or the kind's resends are used up. The latency counts from the arrival
@@ -209,7 +211,7 @@
 	for resend := 0; resend <= r.kind.Retries; resend++ {
 		a := r.sendWithTicket(resend, deadline)
 		res.Sends++
-		res.End, res.Reason = a.end, a.reason
+		res.End, res.Reason, res.Straggler = a.end, a.reason, a.straggler
 		res.NotRun = res.NotRun && a.notRun
 		if a.end == Answered || !time.Now().Before(deadline) {
 			break
@@ -318,16 +320,14 @@
 
 // readBody checks that the answer is the whole one to this request and not that to another request.
 func readBody(body []byte, id string) answer {
-	var got struct {
-		Request string `json:"request"`
-	}
+	var got Answer
 	if json.Unmarshal(body, &got) != nil {
 		return answer{end: Failed, reason: "answer-not-whole"}
 	}
 	if got.Request != id {
 		return answer{end: Failed, reason: "answer-of-another-request"}
 	}
-	return answer{end: Answered}
+	return answer{end: Answered, straggler: got.Straggler}
 }
 
 // ParseKind reads a kind such as orders:POST:/nursery/orders:weight=5:non-idempotent.
--- a/standin/result.go
+++ b/standin/result.go
@@ -45,6 +45,8 @@
 	Reason  string
 	// NotRun means that every send of the request was refused as "not run".
 	NotRun bool
+	// Straggler tells that the work behind the answer was drawn to take longer.
+	Straggler bool
 	// Sends counts the sends, without the ones that only fetched a ticket.
 	Sends   int
 	Latency time.Duration
@@ -70,7 +72,7 @@
 	latencies *hdrhistogram.Histogram
 }
 
-// Quantile returns a quantile, in [0, 100], of the latency of answered requests.
+// Quantile returns a quantile, in [0, 100], of the latency of answered requests without stragglers.
 func (k *KindResults) Quantile(q float64) time.Duration {
 	if k.latencies == nil {
 		return 0
@@ -145,6 +147,10 @@
 		k.Goodput = append(k.Goodput, 0)
 	}
 	k.Goodput[bucket]++
+	if res.Straggler {
+		// Latencies are those of ordinary work, so that they show what stragglers do to it.
+		return
+	}
 	// A latency beyond the histogram's range cannot occur, since a caller's timeout is far shorter.
 	_ = k.latencies.RecordValue(max(1, res.Latency.Microseconds()))
 }
