--- a/cmd/lovagelane/main.go
+++ b/cmd/lovagelane/main.go
@@ -2,11 +2,57 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"lovagelane/command"
+	"lovagelane/event"
+	"lovagelane/kernel"
+	"lovagelane/node"
+	"lovagelane/settings"
 )
 
 func main() {
+	command.RunNode = runNode
 	os.Exit(command.Run(os.Args[1:], &command.Env{Out: os.Stdout, Err: os.Stderr}))
 }
+
+// runNode runs a node until SIGTERM or SIGINT drains it; a second signal stops it at once and cuts off calls in flight.
+func runNode(s settings.Node) error {
+	n, err := node.Start(context.Background(), node.Options{Settings: s, Log: event.New(os.Stderr, kernel.SystemClock{})})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	drain, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group := kernel.NewGroup(context.Background())
+	group.Go("signals", func(ctx context.Context) error {
+		select {
+		case <-signals:
+		case <-ctx.Done():
+			return nil
+		}
+		group.Go("second-signal", func(ctx context.Context) error {
+			select {
+			case <-signals:
+				cancel()
+			case <-ctx.Done():
+			}
+			return nil
+		})
+		if err := n.Drain(drain); err != nil {
+			_ = n.Stop()
+			return err
+		}
+		return n.Stop()
+	})
+	if err := n.Wait(); err != nil {
+		_ = group.Stop()
+		return err
+	}
+	return group.Stop()
+}
--- a/command/node.go
+++ b/command/node.go
@@ -27,10 +27,10 @@
 Exit codes: 0 stopped as planned; 1 the settings have problems or the node failed; 2 wrong usage.`)
 	path := cmd.Flag("settings", "The file of the node's settings.").PlaceHolder("FILE").ExistingFile()
 	checkOnly := cmd.Flag("check", "Check the settings and do not run.").Bool()
-	cmd.Action(func(*kingpin.ParseContext) error { return node(env, *path, *checkOnly) })
+	cmd.Action(func(*kingpin.ParseContext) error { return runNode(env, *path, *checkOnly) })
 }
 
-func node(env *Env, path string, checkOnly bool) error {
+func runNode(env *Env, path string, checkOnly bool) error {
 	n, err := settings.Load(path)
 	if err != nil {
 		return problem(err)
--- /dev/null
+++ b/command/status.go
@@ -0,0 +1,122 @@
+package command
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"lovagelane/fleet"
+	"lovagelane/node"
+)
+
+func init() { Commands.Register("status", addStatus) }
+
+// reach is how a command finds the nodes.
+type reach struct{ store, node, keys string }
+
+// reachFlags adds the flags by which a command finds the nodes.
+func reachFlags(cmd *kingpin.CmdClause) *reach {
+	r := &reach{}
+	cmd.Flag("store", "The base URL of the platform's store, which lists the nodes.").StringVar(&r.store)
+	cmd.Flag("node", "The calls address of a node, for when the store is down.").StringVar(&r.node)
+	cmd.Flag("keys", "The directory with the operator's key.").Required().ExistingDirVar(&r.keys)
+	return r
+}
+
+func addStatus(app *kingpin.Application, env *Env) {
+	cmd := app.Command("status", "Show services, backend servers, places, versions, and who is draining or suspected.").
+		HelpLong(`Examples:
+
+  lovagelane status --store=http://10.0.0.9:8000 --keys=keys
+  lovagelane status --node=10.0.1.7:7002 --keys=keys --format=json
+
+Exit codes: 0 every node answered; 1 problems were found; 2 wrong usage; 3 a node or the store did not answer.`)
+	r := reachFlags(cmd)
+	format := formatFlag(cmd)
+	cmd.Action(func(*kingpin.ParseContext) error { return status(env, r, *format) })
+}
+
+// nodeRecord is a node as scripts read it.
+type nodeRecord struct {
+	ID               string `json:"id"`
+	Service          string `json:"service"`
+	AvailabilityZone string `json:"availability-zone"`
+	Calls            string `json:"calls"`
+	State            string `json:"state"`
+	Version          uint64 `json:"configuration-version"`
+	InFlight         int    `json:"in-flight"`
+	Limit            uint16 `json:"limit"`
+	Level            string `json:"admission-level"`
+	Problem          string `json:"problem,omitempty"`
+}
+
+func status(env *Env, r *reach, format string) error {
+	ctx := context.Background()
+	fl, err := fleet.Open(r.keys)
+	if err != nil {
+		return problem(err)
+	}
+	members, err := fl.Members(ctx, r.store, r.node)
+	if err != nil {
+		return Exit{Code: CodeNotAccepted, Err: err}
+	}
+	suspects := map[string]int{}
+	records := []nodeRecord{}
+	for _, a := range fleet.AskAll[node.Status](ctx, fl, members, fleet.PathStatus) {
+		rec := nodeRecord{ID: a.Member.ID, Service: a.Member.Service, AvailabilityZone: a.Member.AvailabilityZone,
+			Calls: a.Member.Calls, State: string(a.Member.State)}
+		if a.Err != nil {
+			rec.Problem = "does not answer"
+		} else {
+			rec.State, rec.Version = string(a.Value.Member.State), a.Value.ConfigurationVersion
+			rec.InFlight, rec.Limit, rec.Level = a.Value.InFlight, a.Value.Load.Limit, a.Value.Level
+			for _, m := range a.Value.Members {
+				if m.Suspected {
+					suspects[m.ID]++
+				}
+			}
+		}
+		records = append(records, rec)
+	}
+	for i := range records {
+		if n := suspects[records[i].ID]; n > 0 && records[i].Problem == "" {
+			records[i].Problem = fmt.Sprintf("suspected by %d nodes", n)
+		}
+	}
+	slices.SortFunc(records, func(a, b nodeRecord) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.AvailabilityZone, b.AvailabilityZone), cmp.Compare(a.Calls, b.Calls))
+	})
+	return writeStatus(env, records, format)
+}
+
+func writeStatus(env *Env, records []nodeRecord, format string) error {
+	silent := 0
+	for _, r := range records {
+		if r.Problem == "does not answer" {
+			silent++
+		}
+	}
+	if format == formatJSON {
+		if err := writeJSON(env.Out, map[string]any{"nodes": records}); err != nil {
+			return err
+		}
+	} else {
+		w := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(w, "SERVICE\tAVAILABILITY ZONE\tNODE\tSTATE\tVERSION\tIN FLIGHT\tLIMIT\tLEVEL\tPROBLEM")
+		for _, r := range records {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\n", r.Service, r.AvailabilityZone, r.Calls, r.State, r.Version,
+				r.InFlight, r.Limit, r.Level, r.Problem)
+		}
+		if err := w.Flush(); err != nil {
+			return problem(err)
+		}
+	}
+	if silent > 0 {
+		return Exit{Code: CodeNotAccepted, Err: fmt.Errorf("%d of %d nodes do not answer", silent, len(records))}
+	}
+	return nil
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -8,12 +8,11 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/call"
+	"lovagelane/fleet"
 	"lovagelane/membership"
 )
 
 const (
-	pathVersion = "/lovagelane/version"
-	pathNotice  = "/lovagelane/notice"
 	// drainTimeout bounds how long an operator's drain request waits for calls in flight.
 	drainTimeout = 5 * time.Minute
 )
@@ -66,6 +65,22 @@
 	}
 }
 
+// handleOperator serves an operator's command on the calls listener.
+func (n *Node) handleOperator(ctx *fasthttp.RequestCtx, path string) {
+	switch path {
+	case fleet.PathVersion:
+		n.writeVersion(ctx)
+	case fleet.PathNotice:
+		n.control.PollStore()
+	case fleet.PathStatus:
+		writeJSON(ctx, n.Status())
+	case fleet.PathDrain:
+		n.handleDrain(ctx)
+	default:
+		ctx.Error("unknown path for an operator's key: upgrade the older program", fasthttp.StatusNotFound)
+	}
+}
+
 func (n *Node) handleDrain(ctx *fasthttp.RequestCtx) {
 	if !ctx.IsPost() {
 		ctx.Error("drain changes state: use POST", fasthttp.StatusMethodNotAllowed)
--- a/node/caller.go
+++ b/node/caller.go
@@ -52,7 +52,12 @@
 		n.refuseCaller(ctx, nil, refusal(call.ReasonUnknownService, call.OutcomeNotRun, ""))
 		return
 	}
-	op := cfg.Operation(name, string(ctx.Method()), pathOnly(target))
+	path, ok := rulePath(ctx, name)
+	if !ok {
+		n.refuseCaller(ctx, nil, refusal(call.ReasonBadRequest, call.OutcomeNotRun, ""))
+		return
+	}
+	op := cfg.Operation(name, string(ctx.Method()), path)
 	b, reason := readBody(ctx, service.MaxBody)
 	if reason != call.ReasonNone {
 		discardBody(ctx)
--- a/node/header.go
+++ b/node/header.go
@@ -80,10 +80,17 @@
 	return service, rest
 }
 
-// pathOnly cuts the query off a target.
-func pathOnly(target string) string {
-	path, _, _ := strings.Cut(target, "?")
-	return path
+// rulePath returns the decoded and normalized path behind the service, by which rules are matched, so that a different
+// spelling of a path cannot evade a rule. It reports false when the path leaves the service.
+func rulePath(ctx *fasthttp.RequestCtx, service string) (string, bool) {
+	path, ok := strings.CutPrefix(string(ctx.Path()), "/"+service)
+	switch {
+	case !ok:
+		return "", false
+	case path == "":
+		return "/", true
+	}
+	return path, path[0] == '/'
 }
 
 // statedDeadline returns the time that a caller allows, if it states one that is well formed.
--- a/node/inner.go
+++ b/node/inner.go
@@ -81,7 +81,12 @@
 		n.refuseCaller(ctx, nil, refusal(call.ReasonUnknownService, call.OutcomeNotRun, ""))
 		return
 	}
-	op := cfg.Operation(name, string(ctx.Method()), pathOnly(target))
+	path, ok := rulePath(ctx, name)
+	if !ok {
+		n.refuseCaller(ctx, nil, refusal(call.ReasonBadRequest, call.OutcomeNotRun, ""))
+		return
+	}
+	op := cfg.Operation(name, string(ctx.Method()), path)
 	b, reason := readBody(ctx, service.MaxBody)
 	if reason != call.ReasonNone {
 		n.refuseCaller(ctx, &op, refusal(reason, call.OutcomeNotRun, service.Line.String()))
--- a/node/secret.go
+++ b/node/secret.go
@@ -4,8 +4,6 @@
 	"encoding/hex"
 	"os"
 	"strings"
-
-	"github.com/valyala/fasthttp"
 )
 
 // shortestSecret is the least length of a ticket key, in bytes.
@@ -23,6 +21,3 @@
 	}
 	return key, nil
 }
-
-// peerMayCall reports whether the peer's key has a role that may use the calls listener.
-func (n *Node) peerMayCall(ctx *fasthttp.RequestCtx) bool { return ctx.IsTLS() }
--- a/node/serving.go
+++ b/node/serving.go
@@ -11,6 +11,7 @@
 
 	"lovagelane/admission"
 	"lovagelane/call"
+	"lovagelane/keys"
 	"lovagelane/ticket"
 )
 
@@ -19,12 +20,16 @@
 
 // handleCalls serves the calls listener, which only nodes and operators of the deployment can reach.
 func (n *Node) handleCalls(ctx *fasthttp.RequestCtx) {
-	if !n.peerMayCall(ctx) {
-		writeRefusal(ctx, refusal(call.ReasonBadRequest, call.OutcomeNotRun, ""))
+	role, err := peerRole(ctx)
+	if err != nil {
+		n.metrics.Add("peers-refused", 1)
+		ctx.Error(err.Error(), fasthttp.StatusForbidden)
 		return
 	}
 	uri := ctx.Request.Header.RequestURI()
 	switch {
+	case role == keys.RoleOperator:
+		n.handleOperator(ctx, string(uri))
 	case bytes.HasPrefix(uri, ownedPath):
 		n.handleOwned(ctx)
 	case bytes.HasPrefix(uri, lovagelanePath):
@@ -34,33 +39,37 @@
 	}
 }
 
-// handleMessage answers the small messages between nodes and from operators.
+// peerRole returns the role that the peer's key carries.
+func peerRole(ctx *fasthttp.RequestCtx) (keys.Role, error) {
+	state := ctx.TLSConnectionState()
+	if state == nil {
+		return "", Err.New("the peer has no key: use one of the deployment")
+	}
+	return keys.PeerRole(*state)
+}
+
+// handleMessage answers the small messages between nodes.
 func (n *Node) handleMessage(ctx *fasthttp.RequestCtx, path string) {
-	switch path {
-	case pathAttempt, pathCancel:
-		q, err := n.attemptQuestion(ctx)
-		if err != nil {
-			n.metrics.Add("malformed-messages", 1)
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-			return
-		}
-		if path == pathCancel {
-			n.cancelAttempt(q.Attempt)
-			return
-		}
-		b, err := cbor.Marshal(n.stateOf(q))
-		if err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-			return
-		}
-		ctx.SetBody(b)
-	case pathVersion:
-		n.writeVersion(ctx)
-	case pathNotice:
-		n.control.PollStore()
-	default:
-		ctx.Error("unknown path", fasthttp.StatusNotFound)
+	if path != pathAttempt && path != pathCancel {
+		ctx.Error("unknown path: upgrade the older node", fasthttp.StatusNotFound)
+		return
+	}
+	q, err := n.attemptQuestion(ctx)
+	if err != nil {
+		n.metrics.Add("malformed-messages", 1)
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if path == pathCancel {
+		n.cancelAttempt(q.Attempt)
+		return
+	}
+	b, err := cbor.Marshal(n.stateOf(q))
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
 	}
+	ctx.SetBody(b)
 }
 
 func (n *Node) attemptQuestion(ctx *fasthttp.RequestCtx) (attemptQuestion, error) {
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -150,12 +150,15 @@
 		"service = " + p.Service, "availability-zone = " + p.Zone, "backend-server = " + p.BackendAddress,
 		"callers-listen = " + p.Callers, "backend-listen = " + p.Listen, "calls-listen = " + p.Calls,
 		"control-listen = " + p.Control, "admin-listen = " + p.Admin, "store = " + b.Store,
-		"certificate = " + file("node.pem"), "key = " + file("node-key.pem"), "authority = " + file("authority.pem"),
-		"ticket-key = " + file("ticket-key")}
+	}
 	if len(seeds) > 0 {
 		lines = append(lines, "seeds = "+strings.Join(seeds, ", "))
 	}
-	lines = append(lines, b.opt.NodeSettings...)
+	lines = append(lines, "[keys]", "certificate = "+file("node.pem"), "key = "+file("node-key.pem"),
+		"authority = "+file("authority.pem"), "ticket-key = "+file("ticket-key"))
+	if len(b.opt.NodeSettings) > 0 {
+		lines = append(append(lines, "[baselines]"), b.opt.NodeSettings...)
+	}
 	settings := file(name + ".ini")
 	if err := os.WriteFile(settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		return nil, Error.Wrap(err)
