Bound the work and the output for files with many mistakes

Change: one loop is reported for each service, and a long loop shows its two ends. A name is looked up in the table before the list of names is built. plan and explain write problems as the same JSON as check. The examples' sizes are checked against the design. Long functions are split.

--- a/command/check.go
+++ b/command/check.go
@@ -27,27 +27,16 @@
 func check(env *Env, dir, format string) error {
 	cfg, err := readConfig(dir)
 	var found setting.Problems
-	if err != nil && !errors.As(err, &found) {
-		return err
-	}
-	if format == formatJSON {
-		err = writeJSON(env.Out, struct {
-			OK       bool             `json:"ok"`
-			Problems setting.Problems `json:"problems"`
-		}{len(found) == 0, append(setting.Problems{}, found...)})
-		if err != nil {
-			return err
-		}
-	} else {
-		for _, p := range found {
-			fmt.Fprintln(env.Out, p.Error())
-		}
-	}
-	if len(found) > 0 {
+	if format == formatText && errors.As(err, &found) {
+		fmt.Fprintln(env.Out, found)
 		return problem(errReported)
 	}
-	if format == formatText {
-		fmt.Fprintf(env.Out, "ok: %d services, %d requests, no problems\n", len(cfg.Services()), len(cfg.Requests()))
+	if err != nil {
+		return reported(env, format, err)
+	}
+	if format == formatJSON {
+		return writeProblems(env, nil)
 	}
+	fmt.Fprintf(env.Out, "ok: %d services, %d requests, no problems\n", len(cfg.Services()), len(cfg.Requests()))
 	return nil
 }
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -84,11 +83,13 @@
 		require.JSONEq(t, want, out)
 	}
 	bad := dir(t, oldInventory, "")
-	code, out, _ := run("check", "--format=json", bad)
-	require.Equal(t, command.CodeProblem, code)
-	var report struct{ Problems []map[string]any }
-	require.NoError(t, json.Unmarshal([]byte(out), &report))
-	require.Len(t, report.Problems, 1)
+	for _, args := range []string{"check " + bad, "plan " + bad, "plan --from=" + bad + " " + old, "explain maps --dir=" + bad} {
+		code, out, err := run(append(strings.Fields(args), "--format=json")...)
+		require.Equal(t, command.CodeProblem, code)
+		require.Empty(t, err)
+		require.JSONEq(t, `{"ok":false,"problems":[{"at":{"file":"`+bad+`/rules.ini","line":1},"what":"there is no [class NAME] section",
+			"remedy":"add one for each class of requests"}]}`, out)
+	}
 }
 
 // Guards against help that ends in a run of the command, and against commands without examples or exit codes.
--- a/command/explain.go
+++ b/command/explain.go
@@ -29,7 +29,7 @@
 func explain(env *Env, dir, name, format string) error {
 	cfg, err := readConfig(dir)
 	if err != nil {
-		return err
+		return reported(env, format, err)
 	}
 	settings := cfg.Explain(name)
 	if len(settings) == 0 {
--- a/command/files.go
+++ b/command/files.go
@@ -42,3 +42,22 @@
 	}
 	return nil, problem(setting.Problems(problems))
 }
+
+// reported writes the problems that an error holds as JSON when a script asked for it, and leaves other errors to Run.
+func reported(env *Env, format string, err error) error {
+	var found setting.Problems
+	if format != formatJSON || !errors.As(err, &found) {
+		return err
+	}
+	if err := writeProblems(env, found); err != nil {
+		return err
+	}
+	return problem(errReported)
+}
+
+func writeProblems(env *Env, found setting.Problems) error {
+	return writeJSON(env.Out, struct {
+		OK       bool             `json:"ok"`
+		Problems setting.Problems `json:"problems"`
+	}{len(found) == 0, append(setting.Problems{}, found...)})
+}
--- a/command/plan.go
+++ b/command/plan.go
@@ -31,12 +31,12 @@
 	if from != "" {
 		var err error
 		if old, err = readConfig(from); err != nil {
-			return err
+			return reported(env, format, err)
 		}
 	}
 	next, err := readConfig(dir)
 	if err != nil {
-		return err
+		return reported(env, format, err)
 	}
 	return writePlan(env, inventory.Plan(old, next), format)
 }
--- a/inventory/config_test.go
+++ b/inventory/config_test.go
@@ -132,6 +132,10 @@
 		"restinga-viva": {"payments POST /payments", "nursery POST /orders"},
 		"pamoja":        {"job-booking POST /jobs", "leaf-orders POST /orders"},
 	}
+	sizes := map[string][3]int{
+		"restinga-viva": {1, 70, 500}, "restinga-viva payments": {1, 20, 240},
+		"pamoja": {1, 35, 300}, "pamoja job-booking": {1, 10, 170},
+	}
 	for name, requests := range important {
 		var files []inventory.File
 		for _, base := range []string{inventory.InventoryFile, inventory.RulesFile} {
@@ -149,6 +153,13 @@
 		}
 		require.Len(t, cfg.AvailabilityZones(), 6)
 		require.Len(t, cfg.Groups(), 24)
+		for _, g := range cfg.Groups() {
+			size, ok := sizes[name+" "+g.Service]
+			if !ok {
+				size = sizes[name]
+			}
+			require.Equal(t, size, [3]int{g.Count, g.Slots, g.Connections}, g.Service)
+		}
 	}
 }
 
--- a/inventory/graph.go
+++ b/inventory/graph.go
@@ -15,11 +15,11 @@
 	depth map[string]int
 }
 
-// checkGraph reports each loop of the call graph once, and a chain that is too deep to be carried.
+// checkGraph reports loops of the call graph, one for each service that closes any, and a chain that is too deep to be carried.
 func (b *builder) checkGraph() {
 	g := graph{b: b, depth: map[string]int{}}
 	reported := false
-	for _, s := range b.tables.services {
+	for _, s := range b.services {
 		// Services deeper than the bound are usually called by others that are deeper still, so one report is enough.
 		if depth := g.walk(s.Name); depth > call.MaxDepth && !reported {
 			reported = true
@@ -39,11 +39,15 @@
 		return 0
 	}
 	g.path = append(g.path, name)
-	depth := 0
+	depth, reported := 0, false
 	for _, called := range entry.service.Calls {
 		if i := slices.Index(g.path, called); i >= 0 {
+			if reported {
+				continue
+			}
+			reported = true
 			g.b.Add(g.b.stated[name].LineOf("calls"),
-				"the call graph has a loop: "+strings.Join(append(slices.Clone(g.path[i:]), called), " -> "),
+				"the call graph has a loop: "+chain(append(slices.Clone(g.path[i:]), called)),
 				fmt.Sprintf("remove %s from the calls of %s, or another call of the loop", called, name))
 			continue
 		}
@@ -53,3 +57,12 @@
 	g.depth[name] = depth + 1
 	return depth + 1
 }
+
+// chain writes a chain of services on one readable line and leaves out the middle of a long one.
+func chain(names []string) string {
+	if len(names) > maxNamesShown {
+		half := maxNamesShown / 2
+		names = slices.Concat(names[:half], []string{"..."}, names[len(names)-half:])
+	}
+	return strings.Join(names, " -> ")
+}
--- a/inventory/parse.go
+++ b/inventory/parse.go
@@ -49,9 +49,10 @@
 func Parse(files []File) (*Config, []Problem) {
 	b := newBuilder()
 	inventory, rules := b.read(files)
-	b.places(inventory)
-	b.services(inventory)
-	b.backendServers(inventory)
+	b.readRegions(inventory)
+	b.readZones(inventory)
+	b.readServices(inventory)
+	b.readBackendServers(inventory)
 	b.checkGraph()
 	b.readRules(rules)
 	if len(b.Problems) > 0 {
@@ -152,7 +153,7 @@
 	return slices.DeleteFunc(slices.Clone(sections), func(s setting.Section) bool { return s.Kind != kind })
 }
 
-func (b *builder) places(sections []setting.Section) {
+func (b *builder) readRegions(sections []setting.Section) {
 	var store Line
 	for _, s := range ofKind(sections, "region") {
 		r := Region{Name: s.Names[0], Store: b.Bool(s, "store"), Line: s.Line}
@@ -171,9 +172,12 @@
 		}
 	}
 	b.require(b.inventoryFile, len(b.regions), "[region NAME]", "add one for each region")
+}
+
+func (b *builder) readZones(sections []setting.Section) {
 	for _, s := range ofKind(sections, "availability-zone") {
 		z := AvailabilityZone{Name: s.Names[0], Region: b.Name(s, "region"), Line: s.Line}
-		b.known(s, "region", z.Region, "region", keys(b.region))
+		known(b, s, "region", z.Region, "region", b.region)
 		if _, ok := b.region[z.Name]; ok {
 			b.Add(s.Line, fmt.Sprintf("%s is the name of a region too", z.Name), "give the availability zone another name")
 		}
@@ -188,54 +192,57 @@
 	b.require(b.inventoryFile, len(b.zones), "[availability-zone NAME]", "add one for each availability zone")
 }
 
-func (b *builder) services(sections []setting.Section) {
+func (b *builder) readServices(sections []setting.Section) {
 	for _, s := range ofKind(sections, "service") {
-		service := Service{
-			Name:        s.Names[0],
-			Timeout:     b.Duration(s, "timeout", maxTimeout),
-			MaxBody:     b.Bytes(s, "max-body", maxBody),
-			Calls:       b.Names(s, "calls"),
-			Line:        s.Line,
-			TimeoutLine: s.LineOf("timeout"),
-			MaxBodyLine: s.LineOf("max-body"),
-		}
-		slots := b.Int(s, "slots", 1, maxSlots)
-		connections := b.Int(s, "connections", 1, maxConnections)
-		if service.Name == reservedService {
-			b.Add(s.Line, fmt.Sprintf("%s is the name of the nodes' own interface", reservedService), "give the service another name")
-		}
-		sub := Subject{Section: s.Header(), Service: service.Name}
-		b.note(sub, s)
-		b.noteKey(sub, s, "timeout", service.Timeout.String())
-		if service.MaxBody == 0 {
-			service.MaxBody = DefaultMaxBody
-			b.noteFrom(sub, "max-body", setting.FormatBytes(DefaultMaxBody), s.Line, SourceDefault)
-		}
-		b.noteKey(sub, s, "max-body", setting.FormatBytes(service.MaxBody))
-		b.noteKey(sub, s, "calls", strings.Join(slices.Sorted(slices.Values(service.Calls)), ", "))
-		b.noteKey(sub, s, "slots", fmt.Sprint(slots))
-		b.noteKey(sub, s, "connections", fmt.Sprint(connections))
+		service := b.readService(s)
 		if _, ok := b.service[service.Name]; ok {
 			continue
 		}
 		b.service[service.Name] = &serviceEntry{service: service}
 		b.stated[service.Name] = s
-		b.tables.services = append(b.tables.services, service)
+		b.services = append(b.services, service)
 	}
 	b.require(b.inventoryFile, len(b.service), "[service NAME]", "add one for each service")
-	for _, service := range b.tables.services {
-		s := b.stated[service.Name]
+	for _, service := range b.services {
 		for _, called := range service.Calls {
-			b.known(s, "calls", called, "service", keys(b.service))
+			known(b, b.stated[service.Name], "calls", called, "service", b.service)
 		}
 	}
 }
 
-func (b *builder) backendServers(sections []setting.Section) {
+func (b *builder) readService(s setting.Section) Service {
+	service := Service{
+		Name:        s.Names[0],
+		Timeout:     b.Duration(s, "timeout", maxTimeout),
+		MaxBody:     b.Bytes(s, "max-body", maxBody),
+		Calls:       b.Names(s, "calls"),
+		Line:        s.Line,
+		TimeoutLine: s.LineOf("timeout"),
+		MaxBodyLine: s.LineOf("max-body"),
+	}
+	if service.Name == reservedService {
+		b.Add(s.Line, fmt.Sprintf("%s is the name of the nodes' own interface", reservedService), "give the service another name")
+	}
+	sub := Subject{Section: s.Header(), Service: service.Name}
+	b.note(sub, s)
+	b.noteKey(sub, s, "timeout", service.Timeout.String())
+	if service.MaxBody == 0 {
+		service.MaxBody = DefaultMaxBody
+		b.noteFrom(sub, "max-body", setting.FormatBytes(DefaultMaxBody), s.Line, SourceDefault)
+	} else {
+		b.noteKey(sub, s, "max-body", setting.FormatBytes(service.MaxBody))
+	}
+	b.noteKey(sub, s, "calls", strings.Join(slices.Sorted(slices.Values(service.Calls)), ", "))
+	b.noteKey(sub, s, "slots", fmt.Sprint(b.Int(s, "slots", 1, maxSlots)))
+	b.noteKey(sub, s, "connections", fmt.Sprint(b.Int(s, "connections", 1, maxConnections)))
+	return service
+}
+
+func (b *builder) readBackendServers(sections []setting.Section) {
 	for _, s := range ofKind(sections, "backend-servers") {
 		g := BackendServers{Service: s.Names[0], AvailabilityZone: s.Names[1], Count: b.Int(s, "count", 1, maxCount), Line: s.Line}
-		b.known(s, "", g.Service, "service", keys(b.service))
-		b.known(s, "", g.AvailabilityZone, "availability zone", keys(b.zoneRegion))
+		known(b, s, "", g.Service, "service", b.service)
+		known(b, s, "", g.AvailabilityZone, "availability zone", b.zoneRegion)
 		sub := Subject{Section: s.Header(), Service: g.Service, Place: g.AvailabilityZone}
 		b.note(sub, s)
 		b.noteKey(sub, s, "count", fmt.Sprint(g.Count))
@@ -247,7 +254,7 @@
 			b.groups = append(b.groups, g)
 		}
 	}
-	for _, service := range b.tables.services {
+	for _, service := range b.services {
 		if !slices.ContainsFunc(b.groups, func(g BackendServers) bool { return g.Service == service.Name }) {
 			b.Add(service.Line, fmt.Sprintf("service %s has no backend servers", service.Name),
 				fmt.Sprintf("add a section [backend-servers %s AVAILABILITY-ZONE]", service.Name))
@@ -279,14 +286,14 @@
 	return n, at
 }
 
-// known reports a name that is not in the list, unless it was reported as malformed and is empty.
-func (b *builder) known(s setting.Section, key, name, what string, names []string) {
-	if name == "" || slices.Contains(names, name) {
+// known reports a name that is not in the table, unless it was reported as malformed and is empty.
+func known[V any](b *builder, s setting.Section, key, name, what string, table map[string]V) {
+	if _, ok := table[name]; ok || name == "" {
 		return
 	}
 	remedy := fmt.Sprintf("add a section [%s %s]", strings.ReplaceAll(what, " ", "-"), name)
-	if len(names) > 0 && len(names) <= maxNamesShown {
-		remedy += ", or use one of " + strings.Join(names, ", ")
+	if len(table) > 0 && len(table) <= maxNamesShown {
+		remedy += ", or use one of " + strings.Join(keys(table), ", ")
 	}
 	b.Add(s.LineOf(key), fmt.Sprintf("there is no %s %s", what, name), remedy)
 }
--- a/inventory/rules.go
+++ b/inventory/rules.go
@@ -86,8 +86,8 @@
 		ClassLine:     s.LineOf("class"),
 		TimeoutLine:   s.LineOf("timeout"),
 	}
-	b.known(s, "service", op.Service, "service", keys(b.service))
-	b.known(s, "class", op.Class, "class", keys(b.class))
+	known(b, s, "service", op.Service, "service", b.service)
+	known(b, s, "class", op.Class, "class", b.class)
 	class := b.class[op.Class]
 	op.Rank = class.Rank
 	r := Request{Method: b.method(s), Path: b.path(s)}
@@ -228,7 +228,7 @@
 func (b *builder) readObjectives(sections []setting.Section) {
 	for _, s := range sections {
 		o := Objective{Service: s.Names[0], Answered: b.Percent(s, "answered"), Within: b.Duration(s, "within", maxTimeout), Line: s.Line}
-		b.known(s, "", o.Service, "service", keys(b.service))
+		known(b, s, "", o.Service, "service", b.service)
 		if entry, ok := b.service[o.Service]; ok && entry.service.Timeout > 0 && o.Within > entry.service.Timeout {
 			b.Add(s.LineOf("within"), fmt.Sprintf("within %s is longer than the timeout %s of service %s",
 				o.Within, entry.service.Timeout, o.Service), fmt.Sprintf("shorten it, or raise the timeout in %s", entry.service.TimeoutLine))
