--- a/ticket/attempts.go
+++ b/ticket/attempts.go
@@ -69,7 +69,9 @@
 // Attempts is the serving node's table of attempts by sender; the caller serializes access to it.
 type Attempts struct {
 	receiver string
-	senders  map[string]*sender
+	// maxAttempts and maxSenders are MaxAttempts and MaxSenders except in tests of a full table.
+	maxAttempts, maxSenders int
+	senders                 map[string]*sender
 	// floor is the watermark of all senders that are not in the table: the highest number of a sender that was evicted.
 	floor  uint64
 	total  int
@@ -79,7 +81,7 @@
 
 // NewAttempts returns an empty table for the incarnation with this member id.
 func NewAttempts(receiver string) *Attempts {
-	return &Attempts{receiver: receiver, senders: map[string]*sender{}}
+	return &Attempts{receiver: receiver, maxAttempts: MaxAttempts, maxSenders: MaxSenders, senders: map[string]*sender{}}
 }
 
 // Receive records an attempt and decides on it: Run at its first arrival, Join or Kept at a later one that is still
@@ -180,7 +182,7 @@
 // admit adds a sender, or returns nil when every sender in a full table has attempts that are remembered.
 func (t *Attempts) admit(id string) *sender {
 	s := &sender{attempts: map[uint64]*attempt{}, watermark: t.floor}
-	if len(t.senders) >= MaxSenders && !t.evict() {
+	if len(t.senders) >= t.maxSenders && !t.evict() {
 		return nil
 	}
 	t.senders[id] = s
@@ -205,10 +207,10 @@
 
 // room drops the record of the attempt that ended first if the table is full, and reports whether another one fits.
 func (t *Attempts) room() bool {
-	if t.total >= MaxAttempts && t.ended.Len() > 0 {
+	if t.total >= t.maxAttempts && t.ended.Len() > 0 {
 		t.drop(t.ended.Front().Value.(*attempt))
 	}
-	return t.total < MaxAttempts
+	return t.total < t.maxAttempts
 }
 
 func (t *Attempts) record(s *sender, seq uint64) *attempt {
--- a/ticket/owner.go
+++ b/ticket/owner.go
@@ -73,9 +73,11 @@
 
 // Owner is the table of ticketed requests of the node that issued their tickets; the caller serializes access to it.
 type Owner struct {
-	id       string
-	start    time.Time
-	requests map[uint64]*request
+	id    string
+	start time.Time
+	// maxTickets is MaxTickets except in tests of a full table.
+	maxTickets int
+	requests   map[uint64]*request
 	// watermark is the highest number whose request was forgotten. Numbers up to it that are not in the table may have
 	// run, whatever the clock says now.
 	watermark uint64
@@ -85,7 +87,7 @@
 
 // NewOwner returns an empty table for the incarnation that started at start, the same time as given to NewIssuer.
 func NewOwner(owner string, start time.Time) *Owner {
-	return &Owner{id: owner, start: start, requests: map[uint64]*request{}, pruned: start}
+	return &Owner{id: owner, start: start, maxTickets: MaxTickets, requests: map[uint64]*request{}, pruned: start}
 }
 
 // Begin decides on a request that came with a ticket of this owner; each further one for the ticket counts as a resend.
@@ -130,7 +132,7 @@
 // first runs a ticket that was not used before. A full table refuses it, because forgetting another ticket early would
 // let that one run twice.
 func (o *Owner) first(t Ticket, digest uint64) Verdict {
-	if len(o.requests) >= MaxTickets {
+	if len(o.requests) >= o.maxTickets {
 		return Refuse{Reason: call.ReasonBusy, Outcome: call.OutcomeNotRun}
 	}
 	o.requests[t.Seq] = &request{issued: t.IssuedMS, digest: digest, given: retry.Bound}
