Pass owned requests on with their own path

Cause: the owner of a ticket matched rules against the path before the rewrite, so a resend through another node was refused as bad-request. Change: the rewrite resets the parsed path. Result: TestTicketRunsOnceAcrossNodes failed before and passes now.

--- a/node/owned.go
+++ b/node/owned.go
@@ -74,7 +74,7 @@
 
 // handleOwned takes a request that another node passed on because this node issued its ticket.
 func (n *Node) handleOwned(ctx *fasthttp.RequestCtx) {
-	ctx.Request.Header.SetRequestURIBytes(bytes.TrimPrefix(ctx.Request.Header.RequestURI(), ownedPath[:len(ownedPath)-1]))
+	ctx.Request.SetRequestURIBytes(bytes.TrimPrefix(ctx.Request.Header.RequestURI(), ownedPath[:len(ownedPath)-1]))
 	n.outside.Add(1)
 	defer n.outside.Add(-1)
 	n.enter(ctx, string(ctx.Request.Header.Peek(headerCaller)))
