--- a/keys/keyring.go
+++ b/keys/keyring.go
@@ -1,25 +1,186 @@
 package keys
 
-import "crypto/tls"
+import (
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors about key files; their messages name the file and the remedy.
+var Error = errs.Class("keys")
 
 // Paths are the PEM files of a key and of the authority that signs all keys of the deployment.
 type Paths struct{ Certificate, Key, Authority string }
 
-// Keyring holds the current key of a process.
-type Keyring struct{}
+// Keyring holds the current key of a process; its zero value has no key and refuses every connection.
+type Keyring struct {
+	paths   Paths
+	mu      sync.Mutex // serialises Reload
+	current atomic.Pointer[material]
+}
+
+// material is what one reading of the files gave; it is never changed.
+type material struct {
+	certificate tls.Certificate
+	authorities *x509.CertPool
+	digest      [sha256.Size]byte
+}
 
 // Load reads the files and returns an error that names the file and the remedy.
-func Load(p Paths) (*Keyring, error) { return &Keyring{}, nil }
+func Load(p Paths) (*Keyring, error) {
+	m, err := read(p, nil)
+	if err != nil {
+		return nil, err
+	}
+	k := &Keyring{paths: p}
+	k.current.Store(m)
+	return k, nil
+}
+
+// Reload reads the files again when they changed and reports whether the key was replaced. When the new files are
+// broken, or only some of them are written yet, the old key stays in use and the error says why. Connections that are
+// open stay open.
+func (k *Keyring) Reload() (bool, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	old := k.current.Load()
+	if old == nil {
+		return false, Error.New("no key is loaded: create the keyring with Load")
+	}
+	m, err := read(k.paths, old)
+	if err != nil || m == old {
+		return false, err
+	}
+	k.current.Store(m)
+	return true, nil
+}
+
+// Expires returns the time when the current certificate or the authority that signed it expires.
+func (k *Keyring) Expires() time.Time {
+	m := k.current.Load()
+	if m == nil {
+		return time.Time{}
+	}
+	return m.expires()
+}
+
+// read returns old when the content of the files is the same.
+func read(p Paths, old *material) (*material, error) {
+	certificate, err := readFile(p.Certificate, "certificate")
+	if err != nil {
+		return nil, err
+	}
+	key, err := readFile(p.Key, "key")
+	if err != nil {
+		return nil, err
+	}
+	authority, err := readFile(p.Authority, "authority")
+	if err != nil {
+		return nil, err
+	}
+	digest := digestOf(certificate, key, authority)
+	if old != nil && old.digest == digest {
+		return old, nil
+	}
+	return parse(p, digest, certificate, key, authority)
+}
+
+func readFile(path, setting string) ([]byte, error) {
+	if path == "" {
+		return nil, Error.New("no file is set for %s: set %s in the settings to a PEM file", setting, setting)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.New("%v: check that the platform provides the file named by the setting %s", err, setting)
+	}
+	return text, nil
+}
+
+// digestOf hashes each file on its own first, so that bytes that move from one file to the next change the digest.
+func digestOf(files ...[]byte) [sha256.Size]byte {
+	var all []byte
+	for _, f := range files {
+		sum := sha256.Sum256(f)
+		all = append(all, sum[:]...)
+	}
+	return sha256.Sum256(all)
+}
 
-// Reload reads the files again when they changed and reports whether the key was replaced.
-func (k *Keyring) Reload() (bool, error) { return false, nil }
+func parse(p Paths, digest [sha256.Size]byte, certificate, key, authority []byte) (*material, error) {
+	pair, err := tls.X509KeyPair(certificate, key)
+	if err != nil {
+		return nil, Error.New("%s and %s: %v: replace both with a certificate and the key that belongs to it",
+			p.Certificate, p.Key, err)
+	}
+	authorities, err := parseAuthorities(p.Authority, authority)
+	if err != nil {
+		return nil, err
+	}
+	m := &material{certificate: pair, authorities: authorities, digest: digest}
+	if _, err := roleOf(pair.Leaf); err != nil {
+		return nil, Error.New("%s: %v: issue a certificate with one of these roles", p.Certificate, err)
+	}
+	if _, err := m.chains(pair.Leaf, nil, x509.ExtKeyUsageClientAuth); err != nil {
+		return nil, Error.New("%s: %v: issue a certificate that is valid now and signed by an authority in %s",
+			p.Certificate, err, p.Authority)
+	}
+	return m, nil
+}
 
-// Server returns the TLS settings for listeners: only peers with a key of the deployment are accepted.
-func (k *Keyring) Server(protocols ...string) *tls.Config { return nil }
+func parseAuthorities(path string, text []byte) (*x509.CertPool, error) {
+	pool := x509.NewCertPool()
+	n := 0
+	for block, rest := pem.Decode(text); block != nil; block, rest = pem.Decode(rest) {
+		c, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, Error.New("%s: certificate %d: %v: replace it with the authority's certificate", path, n+1, err)
+		}
+		// A pool trusts each certificate in it as it is, so a node's certificate in it would bypass the authority.
+		if !c.IsCA {
+			return nil, Error.New("%s: certificate %d (%s) is not an authority: remove it from the file",
+				path, n+1, c.Subject)
+		}
+		pool.AddCert(c)
+		n++
+	}
+	if n == 0 {
+		return nil, Error.New("%s holds no PEM certificate: put the authority's certificate there", path)
+	}
+	return pool, nil
+}
 
-// Client returns the TLS settings for connections to other nodes, which must show a key of the deployment.
-func (k *Keyring) Client(protocols ...string) *tls.Config { return nil }
+// chains checks a certificate against the authorities and returns the ways in which they signed it.
+func (m *material) chains(
+	leaf *x509.Certificate, between []*x509.Certificate, usage x509.ExtKeyUsage,
+) ([][]*x509.Certificate, error) {
+	o := x509.VerifyOptions{Roots: m.authorities, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{usage}}
+	for _, c := range between {
+		o.Intermediates.AddCert(c)
+	}
+	return leaf.Verify(o)
+}
 
-// Issue writes the keys of a new deployment into dir: authority.pem, node.pem, node-key.pem, operator.pem,
-// operator-key.pem and ticket-key.
-func Issue(dir string) error { return nil }
+func (m *material) expires() time.Time {
+	end := m.certificate.Leaf.NotAfter
+	chains, err := m.chains(m.certificate.Leaf, nil, x509.ExtKeyUsageClientAuth)
+	if err != nil {
+		return end
+	}
+	var longest time.Time
+	for _, chain := range chains {
+		if last := chain[len(chain)-1].NotAfter; last.After(longest) {
+			longest = last
+		}
+	}
+	if longest.Before(end) {
+		return longest
+	}
+	return end
+}
--- /dev/null
+++ b/keys/peer.go
@@ -0,0 +1,100 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+
+	"github.com/zeebo/errs"
+)
+
+// Refused is the class of errors for peers that are not accepted.
+var Refused = errs.Class("peer refused")
+
+// Role is what a certificate entitles its holder to be.
+type Role string
+
+const (
+	// RoleNode is the role of nodes, which may pass on internal headers.
+	RoleNode Role = "node"
+	// RoleOperator is the role of the operator's command, which may not act as a server.
+	RoleOperator Role = "operator"
+)
+
+// PeerRole returns the role of the peer of a connection whose handshake is complete.
+func PeerRole(s tls.ConnectionState) (Role, error) {
+	if len(s.PeerCertificates) == 0 {
+		return "", Refused.New("the peer shows no certificate: start it with a key of this deployment")
+	}
+	role, err := roleOf(s.PeerCertificates[0])
+	return role, Refused.Wrap(err)
+}
+
+func roleOf(c *x509.Certificate) (Role, error) {
+	if units := c.Subject.OrganizationalUnit; len(units) == 1 {
+		switch role := Role(units[0]); role {
+		case RoleNode, RoleOperator:
+			return role, nil
+		}
+	}
+	return "", fmt.Errorf("the organisational unit %q is not the role %q or %q",
+		c.Subject.OrganizationalUnit, RoleNode, RoleOperator)
+}
+
+// Server returns the TLS settings for listeners: only peers with a key of the deployment are accepted. A reloaded key
+// applies to the next handshake.
+func (k *Keyring) Server(protocols ...string) *tls.Config {
+	c := k.base(protocols)
+	c.ClientAuth = tls.RequireAnyClientCert // VerifyConnection checks it against the current authorities
+	c.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return k.own() }
+	c.VerifyConnection = func(s tls.ConnectionState) error {
+		_, err := k.check(s, x509.ExtKeyUsageClientAuth)
+		return err
+	}
+	return c
+}
+
+// Client returns the TLS settings for connections to other nodes, which must show a node's key of the deployment.
+func (k *Keyring) Client(protocols ...string) *tls.Config {
+	c := k.base(protocols)
+	c.InsecureSkipVerify = true // VerifyConnection replaces the check by host name
+	c.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return k.own() }
+	c.VerifyConnection = func(s tls.ConnectionState) error {
+		role, err := k.check(s, x509.ExtKeyUsageServerAuth)
+		if err == nil && role != RoleNode {
+			return Refused.New("a server with the role %q: start it with a node's key", role)
+		}
+		return err
+	}
+	return c
+}
+
+// base disables session tickets. VerifyConnection also runs on resumed sessions, but a ticket that was issued before an
+// authority was removed would keep the peer's old certificate in use.
+func (k *Keyring) base(protocols []string) *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: protocols, SessionTicketsDisabled: true}
+}
+
+func (k *Keyring) own() (*tls.Certificate, error) {
+	m := k.current.Load()
+	if m == nil {
+		return nil, Error.New("no key is loaded: create the keyring with Load")
+	}
+	return &m.certificate, nil
+}
+
+func (k *Keyring) check(s tls.ConnectionState, usage x509.ExtKeyUsage) (Role, error) {
+	m := k.current.Load()
+	if m == nil {
+		return "", Error.New("no key is loaded: create the keyring with Load")
+	}
+	role, err := PeerRole(s)
+	if err != nil {
+		return "", err
+	}
+	leaf := s.PeerCertificates[0]
+	if _, err := m.chains(leaf, s.PeerCertificates[1:], usage); err != nil {
+		return "", Refused.New("%s: %v: start the peer with a current key of this deployment", leaf.Subject, err)
+	}
+	return role, nil
+}
