--- /dev/null
+++ b/event/log_test.go
@@ -0,0 +1,124 @@
+package event_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"lovagelane/event"
+	"lovagelane/kernel"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func clockAt(t time.Time) *kernel.ManualClock {
+	c := new(kernel.ManualClock)
+	for c.Now().Before(t) { // Sub is limited to 292 years
+		c.Advance(t.Sub(c.Now()))
+	}
+	return c
+}
+
+var start = time.Date(2026, 3, 1, 23, 59, 58, 123456789, time.FixedZone("BRT", -3*3600))
+
+// localClock tells the time of a zone other than UTC.
+type localClock struct{ kernel.Clock }
+
+func (c localClock) Now() time.Time { return c.Clock.Now().In(start.Location()) }
+
+// Guards against events over several lines, local times, values that vanish and a missing value that shifts pairs.
+func TestLogLines(t *testing.T) {
+	var out bytes.Buffer
+	l := event.New(&out, localClock{clockAt(start)})
+	l.Info("member-joined", "member", "a1", "slots", 70, "delay", 1500*time.Millisecond)
+	l.Warn("call-failed", "error", errors.New("dial:\nrefused"), "zones", []string{"rn-1", "ce-1"}, "since", start)
+	l.Error("key-broken", "file")
+	require.Equal(t, `time=2026-03-02T02:59:58.123Z level=info event=member-joined member=a1 slots=70 delay=1.5s
+time=2026-03-02T02:59:58.123Z level=warn event=call-failed error="dial:\nrefused" zones="[rn-1 ce-1]" since=2026-03-02T02:59:58.123Z
+time=2026-03-02T02:59:58.123Z level=error event=key-broken file=missing
+`, out.String())
+}
+
+// Guards against a component without a log that crashes.
+func TestNilLogWritesNothing(t *testing.T) {
+	var l *event.Log
+	l.Info("a", "b", 1)
+	(&event.Log{}).Warn("a")
+}
+
+// Guards against a repeated event that fills the log, and against held back lines that nobody learns of.
+func TestLogBoundsRepeats(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var out bytes.Buffer
+		clock := clockAt(start)
+		l := event.New(&out, clock)
+		// The model is a bucket of 10 tokens for each name that gains one a second.
+		tokens, filled := map[string]int{"a": 10, "b": 10}, map[string]time.Time{}
+		held, want := map[string]int{}, ""
+		for range rapid.IntRange(1, 10).Draw(t, "n") {
+			now := clock.Advance(time.Duration(rapid.SampledFrom([]int{0, 300, 1000, 4500, 60000}).Draw(t, "ms")) *
+				time.Millisecond)
+			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")
+			if filled[name].IsZero() {
+				filled[name] = now
+			}
+			for now.Sub(filled[name]) >= time.Second {
+				tokens[name], filled[name] = min(tokens[name]+1, 10), filled[name].Add(time.Second)
+			}
+			for range rapid.IntRange(1, 15).Draw(t, "lines") {
+				l.Info(name)
+				if tokens[name] == 0 {
+					held[name]++
+					continue
+				}
+				tokens[name]--
+				want += "event=" + name
+				if held[name] > 0 {
+					want += fmt.Sprintf(" suppressed=%d", held[name])
+				}
+				want += "\n"
+				held[name] = 0
+			}
+		}
+		var got string
+		for line := range strings.Lines(out.String()) {
+			got += line[strings.Index(line, "event="):]
+		}
+		require.Equal(t, want, got)
+	})
+}
+
+// Guards against a table of names that grows without bound and against names beyond the bound that are not limited.
+func TestLogBoundsNames(t *testing.T) {
+	var out bytes.Buffer
+	l := event.New(&out, clockAt(start))
+	for i := range 2000 {
+		l.Info(fmt.Sprint("event-", i))
+	}
+	require.Equal(t, 512+10, strings.Count(out.String(), "\n"))
+}
+
+// Guards against lines of concurrent writers that mix.
+func TestLogIsConcurrent(t *testing.T) {
+	var out bytes.Buffer
+	l := event.New(&out, kernel.SystemClock{})
+	g := kernel.NewGroup(context.Background())
+	for i := range 8 {
+		g.Go("writer", func(context.Context) error {
+			for range 5 {
+				l.Info(fmt.Sprint("event-", i), "key", "value")
+			}
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+	require.Equal(t, 40, strings.Count(out.String(), " key=value\n"))
+}
