Report service-level burn by service and class

Cause: nobody watches at night, so an operator must see in the morning which objective burnt, what burnt it, where, and what protected it. Change: burn.Recorder counts on each node by service, class, operation and availability zone in minute buckets for 6 hours and hour buckets for 3 days, and keeps protective states. Merge joins nodes in any order, Report computes burn over 5 min, 1 h, 6 h and 3 d and writes text and one HTML page with SVG plots. Collect asks the nodes and names those that did not answer. The objectives travel with the counts.

--- /dev/null
+++ b/burn/html.go
@@ -0,0 +1,139 @@
+package burn
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"strings"
+	"time"
+)
+
+//go:embed report.html
+var pageText string
+
+var page = template.Must(template.New("report").Parse(pageText))
+
+const (
+	plotWidth  = 720
+	plotHeight = 90
+	// plotColumns fits 3 days by hours, 6 hours by 5 minutes and 5 minutes by seconds, four to a column.
+	plotColumns = 72
+	// leastTop keeps a few bad calls among many from filling a plot.
+	leastTop = 0.01
+)
+
+// plot is the share of bad calls over time, stacked by kind.
+type plot struct {
+	Title         string
+	Width, Height int
+	Top           string
+	Paths         []plotPath
+}
+
+type plotPath struct{ Kind, D string }
+
+type pageRow struct {
+	Row
+	Cells  []pageCell
+	Causes []string
+	Plots  []plot
+}
+
+type pageCell struct {
+	Window, Rate, BurntBy string
+	Calls                 int64
+}
+
+// WriteHTML writes the report as one page that needs no other file and no script.
+func (r Report) WriteHTML(w io.Writer) error {
+	data := struct {
+		Report
+		Time    string
+		Rows    []pageRow
+		Recent  []plot
+		Windows []Window
+	}{Report: r, Time: r.At.Format(reportTime), Windows: Windows[:]}
+	if bad(r.Seconds) {
+		data.Recent = []plot{newPlot("all services, 5 min", r.Seconds, r.At.Unix(), 4)}
+	}
+	for _, row := range r.Rows {
+		data.Rows = append(data.Rows, newPageRow(row, r.At))
+	}
+	var out bytes.Buffer
+	if err := page.Execute(&out, data); err != nil {
+		return err
+	}
+	_, err := w.Write(out.Bytes())
+	return err
+}
+
+func newPageRow(row Row, at time.Time) pageRow {
+	p := pageRow{Row: row}
+	for i, b := range row.Burns {
+		p.Cells = append(p.Cells, pageCell{Windows[i].Name, row.RateText(i), b.BurntBy(), b.Counts.Total()})
+	}
+	for _, c := range row.Causes {
+		p.Causes = append(p.Causes, c.text(row.CausesWindow))
+	}
+	if bad(row.Minutes) {
+		p.Plots = append(p.Plots, newPlot("6 h", row.Minutes, minuteOf(at), 5))
+	}
+	if bad(row.Hours) {
+		p.Plots = append(p.Plots, newPlot("3 d", row.Hours, hourOf(at), 1))
+	}
+	return p
+}
+
+func bad(b Buckets) bool {
+	for _, bucket := range b {
+		if bucket.Counts.Bad() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// newPlot puts the given number of buckets, of which the newest is numbered last, into each column.
+func newPlot(title string, b Buckets, last, perColumn int64) plot {
+	var columns [plotColumns]Counts
+	top := leastTop
+	for _, bucket := range b {
+		if age := (last - bucket.N) / perColumn; bucket.N <= last && age < plotColumns {
+			i := plotColumns - 1 - age
+			columns[i] = columns[i].With(bucket.Counts)
+		}
+	}
+	for _, c := range columns {
+		if c.Total() > 0 {
+			top = max(top, float64(c.Bad())/float64(c.Total()))
+		}
+	}
+	p := plot{Title: title, Width: plotWidth, Height: plotHeight, Top: fmt.Sprintf("%.3g%%", 100*top)}
+	for _, k := range BadKinds {
+		if d := path(columns, k, top); d != "" {
+			p.Paths = append(p.Paths, plotPath{k.String(), d})
+		}
+	}
+	return p
+}
+
+// path draws one kind on top of the kinds before it.
+func path(columns [plotColumns]Counts, kind Kind, top float64) string {
+	const width = plotWidth / plotColumns
+	var d strings.Builder
+	for i, c := range columns {
+		if c[kind] == 0 {
+			continue
+		}
+		var below int64
+		for k := KindShed; k < kind; k++ {
+			below += c[k]
+		}
+		scale := plotHeight / top / float64(c.Total())
+		fmt.Fprintf(&d, "M%d %.1fh%dv-%.1fh-%dz", i*width, plotHeight-float64(below)*scale, width-1,
+			float64(c[kind])*scale, width-1)
+	}
+	return d.String()
+}
