--- a/keys/doc.go
+++ b/keys/doc.go
@@ -11,5 +11,5 @@
 //
 // To rotate a node's key, replace the files and call Reload. To rotate the authority, add the new authority's
 // certificate to the authority file of all processes, then replace their certificates and keys, then remove the old
-// authority's certificate.
+// authority's certificate. Each step starts when all processes have reloaded the files of the step before.
 package keys
