--- a/balance/peer.go
+++ b/balance/peer.go
@@ -28,6 +28,9 @@
 	maxRise = 4
 	// refusalWeight is by how much refusals make a backend server less attractive. Fast refusals are no sign of speed.
 	refusalWeight = 20
+	// refusalLimit is the share of refusals from which a backend server is avoided. Without it, an idle one that refuses
+	// at once draws a third of the calls from busy ones that work.
+	refusalLimit = 0.6
 	// refusalGain is the part by which one answer moves the share of refusals.
 	refusalGain = 0.25
 )
@@ -139,8 +142,9 @@
 		if quick {
 			p.grow()
 		}
-		if quick && !startedAt.Before(p.avoidedAt) {
-			p.avoided, p.backoff = false, 0
+		// A probe must be as fast as most calls are: one of a few calls to a slowed backend server is below slow.
+		if p.avoided && res.Latency <= slow/slowFactor && !startedAt.Before(p.avoidedAt) {
+			p.readmit(res.Latency)
 		} else if !quick && !overtaken {
 			p.avoid(now)
 		}
@@ -154,8 +158,23 @@
 	case !res.Answered || broken(res.Reason):
 		p.refuse(now, 1)
 		p.avoid(now)
-	default:
+	case refused(res.Reason):
 		p.refuse(now, 1)
+		// A level sheds only some priorities, and those are kept away by the level itself.
+		if res.Reason != call.ReasonShed && p.refusals > refusalLimit {
+			p.avoid(now)
+		}
+	}
+}
+
+// refused reports whether an answer with that reason says that the backend server could not take the call. Other reasons
+// lie with the call.
+func refused(r call.Reason) bool {
+	switch r {
+	case call.ReasonShed, call.ReasonQueueFull, call.ReasonDeadline, call.ReasonBusy:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -214,6 +233,13 @@
 	p.probeAt = now.Add(p.backoff)
 }
 
+// readmit ends the avoidance: what was observed before no longer holds, and slow start bounds the damage if it does.
+func (p *peer) readmit(latency time.Duration) {
+	p.avoided, p.backoff = false, 0
+	p.latency, p.refusals = latency.Seconds(), 0
+	p.cap, p.good = firstCap, 0
+}
+
 // check avoids a peer whose calls wait too long, and reports whether it may be chosen.
 func (p *peer) check(now time.Time, slow time.Duration) bool {
 	if !p.avoided && p.waiting != nil && now.Sub(p.waiting.started) > slow {
