--- a/balance/chooser_test.go
+++ b/balance/chooser_test.go
@@ -143,7 +143,9 @@
 	d.warm("a", "b")
 	d.c.Started(d.now, "a", 1<<32)
 	d.now = d.now.Add(100 * time.Millisecond)
-	require.Equal(t, map[string]int{"b": 50}, d.count(50, balance.Query{Exclude: nil}))
+	require.Equal(t, map[string]int{"b": 50}, d.count(50, balance.Query{}))
+	d.now = d.now.Add(100 * time.Millisecond)
+	require.Equal(t, balance.Chosen{ID: "a", Probe: true}, d.c.Choose(d.now, balance.Query{Exclude: kernel.SetOf("b")}))
 
 	d = newDriver(t, candidate("a", "rn", "rn-1"), candidate("b", "rn", "rn-1"))
 	d.warm("a", "b")
--- /dev/null
+++ b/pressure/shares_test.go
@@ -0,0 +1,117 @@
+package pressure_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lovagelane/call"
+	"lovagelane/pressure"
+)
+
+// demand sends requests of callers at rates per second through shares for a while, refuses what is beyond capacity (first
+// the excess), and returns the part of each caller's requests that was marked in the last second.
+func demand(s *pressure.Shares, start time.Time, length time.Duration, capacity float64, rates ...float64) []float64 {
+	due, marked, sent := make([]float64, len(rates)), make([]float64, len(rates)), make([]float64, len(rates))
+	var offered, excess float64
+	refuse := 0.0
+	for at := time.Duration(0); at < length; at += ms {
+		now := start.Add(at)
+		for i, rate := range rates {
+			for due[i] += rate / 1000; due[i] >= 1; due[i]-- {
+				value := s.Value(now, "orders", fmt.Sprint("caller", i), 5)
+				offered++
+				if value >= call.FairValues {
+					excess++
+				}
+				if at >= length-time.Second {
+					sent[i]++
+					if value >= call.FairValues {
+						marked[i]++
+					}
+				}
+			}
+		}
+		var total float64
+		for _, rate := range rates {
+			total += rate
+		}
+		for refuse += max(0, total-capacity) / 1000; refuse >= 1; refuse-- {
+			s.Refused(now, "orders")
+		}
+	}
+	for i := range marked {
+		marked[i] /= sent[i]
+	}
+	return marked
+}
+
+// Guards against marking callers of a class that is not contended, callers within their share, or not marking a surge.
+// Mutation: left halved in fairShare; excess always 0; fairShare without left -= requests.
+func TestExcessIsMarked(t *testing.T) {
+	tests := []struct {
+		name     string
+		capacity float64
+		rates    []float64
+		want     []float64
+	}{
+		{"not contended", 1000, []float64{10, 10, 500}, []float64{0, 0, 0}},
+		{"one surges", 100, []float64{10, 10, 10, 500}, []float64{0, 0, 0, 0.85}},
+		{"two surge", 100, []float64{10, 10, 200, 200}, []float64{0, 0, 0.78, 0.78}},
+		{"all equal", 100, []float64{100, 100, 100}, []float64{0.63, 0.63, 0.63}},
+		{"one caller", 100, []float64{500}, []float64{0.78}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var s pressure.Shares
+			got := demand(&s, epoch, 5*time.Second, test.capacity, test.rates...)
+			for i := range test.want {
+				require.InDelta(t, test.want[i], got[i], 0.05, "caller %d", i)
+			}
+			// Contention is forgotten.
+			for _, v := range demand(&s, epoch.Add(10*time.Second), 2*time.Second, 1e9, test.rates...) {
+				require.Zero(t, v)
+			}
+		})
+	}
+}
+
+// Guards against values outside 0..127 within the share and 128..255 beyond it, and against a changed base value.
+// Mutation: Value without the mask of the base.
+func TestValuesKeepTheBase(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s pressure.Shares
+		now, contended := epoch, false
+		for range rapid.IntRange(1, 300).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * ms)
+			base := rapid.Byte().Draw(t, "base")
+			value := s.Value(now, "orders", fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "caller")), base)
+			require.Equal(t, base%128, value%128)
+			require.True(t, contended || value < 128)
+			if rapid.Bool().Draw(t, "refused") {
+				s.Refused(now, "orders")
+				contended = true
+			}
+		}
+	})
+}
+
+func BenchmarkValue(b *testing.B) {
+	names := make([]string, 1000)
+	for i := range names {
+		names[i] = fmt.Sprint("caller-", i)
+	}
+	var s pressure.Shares
+	now := epoch
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(100 * time.Microsecond)
+		s.Value(now, "orders", names[i%len(names)], 5)
+		if i%2 == 0 {
+			s.Refused(now, "orders")
+		}
+	}
+}
--- /dev/null
+++ b/retry/hedges_test.go
@@ -0,0 +1,48 @@
+package retry_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lovagelane/retry"
+)
+
+// Guards against hedges beyond 5% of the calls, or 50 at once that were earned by calls of long ago.
+// Mutation: callsPerHedge = 19; Called without the halving.
+func TestHedgesAreAShareOfRecentCalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h retry.Hedges
+		calls, hedges := 0, 0
+		for _, n := range rapid.SliceOfN(rapid.IntRange(1, 3000), 1, 20).Draw(t, "calls") {
+			for range n {
+				h.Called()
+			}
+			calls += n
+			burst := 0
+			for h.Take() {
+				burst++
+			}
+			hedges += burst
+			require.LessOrEqual(t, burst, 50)
+			require.LessOrEqual(t, hedges*20, calls)
+		}
+	})
+}
+
+// Guards against a share that is never given, which would leave hedging without effect.
+// Mutation: Take always false.
+func TestHedgesReachTheirShare(t *testing.T) {
+	var h retry.Hedges
+	require.False(t, h.Take())
+	hedges := 0
+	for range 10000 {
+		h.Called()
+		if h.Take() {
+			hedges++
+		}
+	}
+	require.GreaterOrEqual(t, hedges, 450)
+	require.LessOrEqual(t, hedges, 500)
+}
