Make the demo pass against the node and give each port once

Change: apply through the command with the operator's keys; one table of given ports; waiting ends at once when a process has ended and names the members that are missing; the demo takes baseline settings.

--- a/cmd/demo/play.go
+++ b/cmd/demo/play.go
@@ -36,8 +36,8 @@
 	fmt.Printf("%5.1fs  %s\n", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func (d *demo) start(ctx context.Context, bin string) error {
-	bed, err := testbed.New(ctx, testbed.Options{Bin: bin})
+func (d *demo) start(ctx context.Context, opt testbed.Options) error {
+	bed, err := testbed.New(ctx, opt)
 	if err != nil {
 		return err
 	}
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -36,6 +36,7 @@
 	opt   Options
 	group *kernel.Group
 	dir   string
+	ports ports
 
 	Platform *Process
 	// Store is the base URL of the platform.
@@ -80,7 +81,7 @@
 	if err := keys.Issue(b.dir); err != nil {
 		return err
 	}
-	addresses, err := freeAddresses(1)
+	addresses, err := b.ports.take(1)
 	if err != nil {
 		return err
 	}
@@ -117,7 +118,7 @@
 }
 
 func (b *Bed) addPlace(s Service, zone string, i int) error {
-	a, err := freeAddresses(6)
+	a, err := b.ports.take(6)
 	if err != nil {
 		return err
 	}
@@ -186,7 +187,8 @@
 	return all
 }
 
-// Apply applies a configuration with the operator's command and returns what it printed.
+// Apply applies a configuration with the operator's command, which returns when it is in force on every node, and
+// returns what the command printed.
 func (b *Bed) Apply(ctx context.Context, inventory, rules string) (string, error) {
 	dir := filepath.Join(b.dir, "configuration")
 	if err := os.MkdirAll(dir, 0o755); err != nil {
@@ -197,17 +199,14 @@
 			return "", Error.Wrap(err)
 		}
 	}
-	out, err := exec.CommandContext(ctx, filepath.Join(b.opt.Bin, "lovagelane"), b.applyArgs(dir)...).CombinedOutput()
+	out, err := exec.CommandContext(ctx, filepath.Join(b.opt.Bin, "lovagelane"), "apply", "--store", b.Store, "--keys", b.dir,
+		"--by", "testbed", dir).CombinedOutput()
 	if err != nil {
 		return "", Error.New("lovagelane apply: %v: %s", err, out)
 	}
 	return string(out), nil
 }
 
-func (b *Bed) applyArgs(dir string) []string {
-	return []string{"apply", dir, "--store", b.Store}
-}
-
 // Up waits until the backend servers are healthy and the nodes answer, before any configuration is applied.
 func (b *Bed) Up(ctx context.Context) error {
 	for _, p := range b.Places {
@@ -242,12 +241,18 @@
 }
 
 func (p *Place) healthy(ctx context.Context) error {
+	if !p.Backend.Running() {
+		return endedError{p.Backend.Name, p.Backend.log}
+	}
 	return exchange(ctx, "GET", "http://"+p.BackendAddress+"/health", nil, nil)
 }
 
 // Status returns what the node tells operators.
 func (p *Place) Status(ctx context.Context) (node.Status, error) {
 	var s node.Status
+	if !p.Node.Running() {
+		return s, endedError{p.Node.Name, p.Node.log}
+	}
 	err := exchange(ctx, "GET", "http://"+p.Admin+"/status", nil, &s)
 	return s, err
 }
@@ -258,9 +263,14 @@
 		return err
 	}
 	serving := 0
+	var others []string
 	for _, m := range s.Members {
-		if m.ID != s.Member.ID && m.State == membership.StateServing && !m.Suspected {
+		switch {
+		case m.ID == s.Member.ID:
+		case m.State == membership.StateServing && !m.Suspected:
 			serving++
+		default:
+			others = append(others, fmt.Sprintf("%s in %s %s suspected=%t", m.Service, m.AvailabilityZone, m.State, m.Suspected))
 		}
 	}
 	switch {
@@ -269,7 +279,7 @@
 	case !s.BackendServerUp:
 		return Error.New("the backend server is not up")
 	case serving < places-1:
-		return Error.New("the node sees %d of %d other nodes serving", serving, places-1)
+		return Error.New("the node sees %d of %d other nodes serving, and %v", serving, places-1, others)
 	}
 	return nil
 }
--- a/testbed/http.go
+++ b/testbed/http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -49,18 +50,34 @@
 	return Error.Wrap(json.Unmarshal(b, out))
 }
 
-// Until polls f until it returns nil, and returns its last error when ctx ends first.
+// endedError says that a process ended, so that waiting for it is no use.
+type endedError struct{ process, log string }
+
+func (e endedError) Error() string {
+	return "process " + e.process + " has ended, see " + e.log
+}
+
+// Until polls f until it returns nil, and returns its last error when ctx ends first or a process has ended.
 func Until(ctx context.Context, what string, f func(context.Context) error) error {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
+	var last error
 	for {
 		err := f(ctx)
 		if err == nil {
 			return nil
 		}
+		if last == nil || ctx.Err() == nil {
+			// A poll that the end of ctx cut off says nothing about what is awaited.
+			last = err
+		}
+		var ended endedError
+		if errors.As(err, &ended) {
+			return Error.Wrap(err)
+		}
 		select {
 		case <-ctx.Done():
-			return Error.New("%s: %v", what, err)
+			return Error.New("%s: %v", what, last)
 		case <-ticker.C:
 		}
 	}
--- a/testbed/ports.go
+++ b/testbed/ports.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+
+	"lovagelane/kernel"
 )
 
 const (
@@ -14,33 +16,39 @@
 	portTries = 5000
 )
 
-// freeAddresses returns n loopback addresses whose ports are free for TCP and UDP. It holds all ports until it has found
-// the last one, so that none is given twice.
-func freeAddresses(n int) ([]string, error) {
+// ports gives loopback addresses. It gives none twice, since a process may not have opened its listeners yet when the
+// addresses of the next one are chosen.
+type ports struct{ taken kernel.Set[string] }
+
+// take returns n addresses whose ports are free for TCP and UDP.
+func (p *ports) take(n int) ([]string, error) {
+	if p.taken == nil {
+		p.taken = kernel.Set[string]{}
+	}
 	var addresses []string
-	var held []interface{ Close() error }
-	defer func() {
-		for _, h := range held {
-			_ = h.Close()
-		}
-	}()
 	// Testbeds that run at the same time must not try the same ports, so the source is not seeded.
 	for range portTries {
 		if len(addresses) == n {
 			return addresses, nil
 		}
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-		tcp, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		held = append(held, tcp)
-		udp, err := net.ListenPacket("udp", address)
-		if err != nil {
-			continue
+		if !p.taken.Has(address) && free(address) {
+			p.taken[address] = struct{}{}
+			addresses = append(addresses, address)
 		}
-		held = append(held, udp)
-		addresses = append(addresses, address)
 	}
 	return nil, Error.New("found %d free ports of %d: end other programs that listen on loopback", len(addresses), n)
 }
+
+func free(address string) bool {
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer tcp.Close()
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return udp.Close() == nil
+}
