Bound the memory of attempts by one map for all senders

Cause: Go maps keep the room of their peak, so that a map for each sender holds the sum of all senders' peaks although at most MaxAttempts records exist. Change: one map keyed by sender and number; senders count their records. Conclusion: the table is bounded by MaxAttempts and MaxSenders alone.

--- a/ticket/attempts.go
+++ b/ticket/attempts.go
@@ -61,27 +61,37 @@
 }
 
 type sender struct {
-	attempts map[uint64]*attempt
+	// remembered is the number of its attempts that have a record.
+	remembered int
 	// watermark is the highest number whose record was dropped. Numbers up to it that have no record may have run.
 	watermark uint64
 }
 
+type attemptKey struct {
+	sender *sender
+	seq    uint64
+}
+
 // Attempts is the serving node's table of attempts by sender; the caller serializes access to it.
 type Attempts struct {
 	receiver string
 	// maxAttempts and maxSenders are MaxAttempts and MaxSenders except in tests of a full table.
 	maxAttempts, maxSenders int
 	senders                 map[string]*sender
+	// attempts is one map for all senders, because a map for each would keep the room of that sender's peak.
+	attempts map[attemptKey]*attempt
 	// floor is the watermark of all senders that are not in the table: the highest number of a sender that was evicted.
 	floor  uint64
-	total  int
 	ended  list.List
 	bodies bodies
 }
 
 // NewAttempts returns an empty table for the incarnation with this member id.
 func NewAttempts(receiver string) *Attempts {
-	return &Attempts{receiver: receiver, maxAttempts: MaxAttempts, maxSenders: MaxSenders, senders: map[string]*sender{}}
+	return &Attempts{
+		receiver: receiver, maxAttempts: MaxAttempts, maxSenders: MaxSenders,
+		senders: map[string]*sender{}, attempts: map[attemptKey]*attempt{},
+	}
 }
 
 // Receive records an attempt and decides on it: Run at its first arrival, Join or Kept at a later one that is still
@@ -120,7 +130,7 @@
 // Finish records the end of an attempt that was let through.
 func (t *Attempts) Finish(now time.Time, a call.Attempt, answer Answer) {
 	if s, ok := t.senders[a.Sender]; ok && a.Receiver == t.receiver {
-		if r, ok := s.attempts[a.Seq]; ok && r.ended == nil {
+		if r, ok := t.attempts[attemptKey{s, a.Seq}]; ok && r.ended == nil {
 			t.end(now, r, answer)
 		}
 	}
@@ -143,7 +153,7 @@
 }
 
 // Len returns the numbers of attempts and of senders that the table holds.
-func (t *Attempts) Len() (attempts, senders int) { return t.total, len(t.senders) }
+func (t *Attempts) Len() (attempts, senders int) { return len(t.attempts), len(t.senders) }
 
 // find returns the record of an attempt, or the sender for an attempt that was never seen and that there is room for. A
 // "not run" refusal marks the number, because a copy of the attempt may arrive when there is room again.
@@ -166,7 +176,7 @@
 			return nil, nil, busy
 		}
 	}
-	if r, ok := s.attempts[a.Seq]; ok {
+	if r, ok := t.attempts[attemptKey{s, a.Seq}]; ok {
 		return s, r, nil
 	}
 	if a.Seq <= s.watermark {
@@ -181,7 +191,7 @@
 
 // admit adds a sender, or returns nil when every sender in a full table has attempts that are remembered.
 func (t *Attempts) admit(id string) *sender {
-	s := &sender{attempts: map[uint64]*attempt{}, watermark: t.floor}
+	s := &sender{watermark: t.floor}
 	if len(t.senders) >= t.maxSenders && !t.evict() {
 		return nil
 	}
@@ -193,7 +203,7 @@
 func (t *Attempts) evict() bool {
 	victim := ""
 	for id, s := range t.senders {
-		if len(s.attempts) == 0 && (victim == "" || s.watermark < t.senders[victim].watermark) {
+		if s.remembered == 0 && (victim == "" || s.watermark < t.senders[victim].watermark) {
 			victim = id
 		}
 	}
@@ -207,16 +217,16 @@
 
 // room drops the record of the attempt that ended first if the table is full, and reports whether another one fits.
 func (t *Attempts) room() bool {
-	if t.total >= t.maxAttempts && t.ended.Len() > 0 {
+	if len(t.attempts) >= t.maxAttempts && t.ended.Len() > 0 {
 		t.drop(t.ended.Front().Value.(*attempt))
 	}
-	return t.total < t.maxAttempts
+	return len(t.attempts) < t.maxAttempts
 }
 
 func (t *Attempts) record(s *sender, seq uint64) *attempt {
 	r := &attempt{sender: s, seq: seq}
-	s.attempts[seq] = r
-	t.total++
+	t.attempts[attemptKey{s, seq}] = r
+	s.remembered++
 	return r
 }
 
@@ -239,8 +249,8 @@
 
 func (t *Attempts) drop(r *attempt) {
 	r.sender.watermark = max(r.sender.watermark, r.seq)
-	delete(r.sender.attempts, r.seq)
+	delete(t.attempts, attemptKey{r.sender, r.seq})
+	r.sender.remembered--
 	t.ended.Remove(r.ended)
 	t.bodies.release(&r.kept)
-	t.total--
 }
