Test control against killed, frozen, silent and broken peers

A refutation repeats until the own member is live, which the property test of refutations asked for (an own announcement with another address hid that a later member has the own address).

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,9 +12,32 @@
 	"lovagelane/rollout"
 )
 
+const (
+	testInventory = `[region rn]
+[region ce]
+[availability-zone rn-1]
+region = rn
+[availability-zone ce-1]
+region = ce
+[service maps]
+slots = 70
+connections = 500
+timeout = 2s
+[backend-servers maps rn-1]
+count = %d
+`
+	testRules = `[class lookups]
+rank = 6
+default = yes
+`
+)
+
 func applyConfig(t testing.TB, store *memoryStore, base uint64) {
 	t.Helper()
-	files := []inventory.File{{Name: "inventory.ini", Text: "[region rn]\n# " + string(rune('a'+base))}}
+	files := []inventory.File{
+		{Name: "inventory.ini", Text: fmt.Sprintf(testInventory, base+1)},
+		{Name: "rules.ini", Text: testRules},
+	}
 	accepted, err := rollout.Apply(context.Background(), store, files, "operator", base)
 	require.NoError(t, err)
 	require.Equal(t, base+1, accepted.Version)
--- /dev/null
+++ b/control/frame_test.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"bytes"
+	"encoding/binary"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lovagelane/membership"
+	"lovagelane/quarantine"
+	"lovagelane/rollout"
+)
+
+// longest returns a member whose fields all have their greatest length.
+func longest() membership.Member {
+	field := strings.Repeat("x", 128)
+	return membership.Member{
+		ID: strings.Repeat("i", 64), Counter: 1 << 60, Service: field, Region: field, AvailabilityZone: field, Calls: field,
+		Control: field, Callers: field, Slots: 1 << 20, State: membership.StateStarting, Suspected: true, Dead: true, Started: 1 << 60,
+	}
+}
+
+func repeat[T any](v T, n int) []T {
+	list := make([]T, n)
+	for i := range list {
+		list[i] = v
+	}
+	return list
+}
+
+// Guards against frames that do not come back as they were sent, and against full frames that exceed the bound.
+func TestFramesComeBack(t *testing.T) {
+	mark := membership.Mark{ID: longest().ID, Counter: 1 << 60, Dead: true}
+	report := quarantine.Report{Digest: 1 << 63, Crash: strings.Repeat("c", 128), Cleared: true}
+	frames := []Frame{
+		hello{Member: longest(), Held: 7},
+		heartbeat{Held: 7},
+		announce{Members: repeat(longest(), membersPerFrame)},
+		suspect{Marks: repeat(mark, marksPerFrame)},
+		digest{Parts: repeat(uint64(1<<63), membership.DigestBuckets)},
+		diff{Parts: repeat(63, membership.DigestBuckets), Members: repeat(longest(), membersPerFrame), Last: true},
+		notice{Version: 7, Hash: rollout.Hash(nil)},
+		pull{Version: 7},
+		text{Version: 7, Hash: rollout.Hash(nil), Body: make([]byte, rollout.MaxTextBytes)},
+		crash{Reports: repeat(report, reportsPerFrame)},
+	}
+	var stream bytes.Buffer
+	for _, f := range frames {
+		data, err := encodeFrame(f)
+		require.NoError(t, err, "kind %d", f.kind())
+		stream.Write(data)
+	}
+	for _, f := range frames {
+		got, err := readFrame(&stream)
+		require.NoError(t, err, "kind %d", f.kind())
+		require.Equal(t, f, got)
+	}
+}
+
+func framed(data []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...)
+}
+
+func rawFrame(t *testing.T, k kind, body any) []byte {
+	t.Helper()
+	b, err := cbor.Marshal(body)
+	require.NoError(t, err)
+	data, err := cbor.Marshal(envelope{Kind: k, Body: b})
+	require.NoError(t, err)
+	return framed(data)
+}
+
+// Guards against memory or work that a broken peer could cause, and against a later version that ends the connection.
+func TestBrokenFrames(t *testing.T) {
+	cases := []struct {
+		name string
+		data []byte
+		want error
+	}{
+		{"no length", framed(nil), errMalformed},
+		{"length beyond every bound", binary.BigEndian.AppendUint32(nil, 1<<31), errMalformed},
+		{"no CBOR", framed([]byte{0xff, 0xff}), errMalformed},
+		{"body of another type", rawFrame(t, kindHeartbeat, "text"), errMalformed},
+		{"large frame that is no text", rawFrame(t, kindCrash, make([]byte, maxFrameBytes)), errMalformed},
+		{"text beyond its bound", rawFrame(t, kindText, text{Body: make([]byte, rollout.MaxTextBytes+1)}), errMalformed},
+		{"short digest", rawFrame(t, kindDigest, digest{Parts: []uint64{1}}), errMalformed},
+		{"hello without a member", rawFrame(t, kindHello, hello{}), errMalformed},
+		{"too many items", rawFrame(t, kindDiff, diff{Parts: make([]int, maxListItems+1)}), errMalformed},
+		{"unknown kind", rawFrame(t, 200, "later"), errUnknownKind},
+		{"unknown field", rawFrame(t, kindHeartbeat, map[int]int{1: 7, 9: 9}), nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := readFrame(bytes.NewReader(c.data))
+			require.ErrorIs(t, err, c.want)
+		})
+	}
+}
+
+// Guards against bytes of a peer that make the decoder panic.
+func TestDecodeNeverPanics(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, err := decodeFrame(rapid.SliceOf(rapid.Byte()).Draw(t, "data"))
+		require.Equal(t, err == nil, f != nil)
+	})
+}
+
+// Guards against a memory of crash reports that grows without bound or forgets the latest.
+func TestSeenIsBounded(t *testing.T) {
+	s := seen[int]{bound: 3}
+	for i := range 10 {
+		require.True(t, s.add(i))
+		require.False(t, s.add(i))
+	}
+	require.Len(t, s.items, 3)
+	require.True(t, s.add(0))
+}
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -34,7 +34,6 @@
 	if err != nil {
 		panic(err)
 	}
-	// The fixed dates and the fixed name let helper processes use keys of their own start.
 	return keysOf(key)
 })
 
@@ -109,9 +108,10 @@
 }
 
 type place struct {
-	id, region, listen string
-	seeds              []string
-	store              platform.Store
+	id, region, listen, control string
+	seeds                       []string
+	store                       platform.Store
+	maxInbound                  int
 }
 
 func startNode(t testing.TB, p place) *node {
@@ -119,8 +119,11 @@
 	n := &node{}
 	tuned := quick(sharedKeys())
 	tuned.store = p.store
+	if p.maxInbound > 0 {
+		tuned.maxInbound = p.maxInbound
+	}
 	c, err := start(context.Background(), Options{
-		Self:   membership.Member{ID: p.id, Service: "maps", Region: p.region, AvailabilityZone: p.region + "-1"},
+		Self:   membership.Member{ID: p.id, Service: "maps", Region: p.region, AvailabilityZone: p.region + "-1", Control: p.control},
 		Listen: orLoopback(p.listen),
 		Seeds:  p.seeds,
 		Rand:   kernel.NewRand(uint64(len(p.id)) + uint64(time.Now().UnixNano())),
--- a/control/watch.go
+++ b/control/watch.go
@@ -25,7 +25,7 @@
 	for _, id := range c.view.Tick(now, isolated) {
 		c.log.Warn("member-removed", "member", id, "reason", "suspicion not refuted")
 	}
-	c.learnRegion(now)
+	c.learnPlace(now)
 	if now.Sub(c.refutedAt) >= c.tuning.refuteGap && c.view.Refute(now) {
 		c.refutedAt = now
 		c.pending[c.view.Self().ID] = nil
@@ -37,20 +37,26 @@
 	signal(c.changed)
 }
 
-// learnRegion takes the region of the own availability zone from the configuration, or before that from other members.
-func (c *Control) learnRegion(now time.Time) {
+// learnPlace takes the region of the own availability zone and the slots from the configuration, or before that the region
+// from other members; the caller holds the lock.
+func (c *Control) learnPlace(now time.Time) {
 	self := c.view.Self()
 	if self.State == membership.StateLeft {
 		return
 	}
-	region := ""
-	if c.held.config != nil {
-		region, _ = c.held.config.Region(self.AvailabilityZone)
-	} else if self.Region == "" {
+	region, slots := self.Region, self.Slots
+	if cfg := c.held.config; cfg != nil {
+		if name, ok := cfg.Region(self.AvailabilityZone); ok {
+			region = name
+		}
+		if group, ok := cfg.BackendServers(self.Service, self.AvailabilityZone); ok {
+			slots = group.Slots
+		}
+	} else if region == "" {
 		region = c.regionOfPeers()
 	}
-	if region != "" && region != self.Region {
-		c.view.SetRegion(now, region)
+	if region != self.Region || slots != self.Slots {
+		c.view.SetPlace(now, region, slots)
 		c.pending[self.ID] = nil
 	}
 }
@@ -194,7 +200,8 @@
 func (c *Control) suspect(w *watcher, m membership.Member, reason error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !w.ring || m.Region != c.view.Self().Region || !c.view.Suspect(c.now(), m.ID) {
+	current, _ := c.view.Get(m.ID)
+	if !w.ring || current.Region != c.view.Self().Region || !c.view.Suspect(c.now(), m.ID) {
 		return
 	}
 	c.pending[m.ID] = nil
--- a/membership/rings.go
+++ b/membership/rings.go
@@ -19,7 +19,7 @@
 
 type point struct {
 	hash   uint64
-	member Member
+	member *Member
 }
 
 type region struct {
@@ -50,7 +50,7 @@
 			if len(g.links) == LinkNodes {
 				break
 			}
-			g.links = append(g.links, p.member)
+			g.links = append(g.links, *p.member)
 		}
 		r.regions[name] = g
 	}
@@ -62,9 +62,9 @@
 func (r Rings) Watched(m Member) []Member {
 	var watched []Member
 	for i, ring := range r.regions[m.Region].rings {
-		at, _ := slices.BinarySearchFunc(ring, point{hash: position(salts[i], m.ID), member: m}, comparePoints)
+		at, _ := slices.BinarySearchFunc(ring, point{hash: position(salts[i], m.ID), member: &m}, comparePoints)
 		for step := range ring {
-			next := ring[(at+step)%len(ring)].member
+			next := *ring[(at+step)%len(ring)].member
 			if next.ID != m.ID {
 				watched = appendNew(watched, next)
 				break
@@ -98,15 +98,18 @@
 
 func ordered(salt string, members []Member) []point {
 	points := make([]point, len(members))
-	for i, m := range members {
-		points[i] = point{hash: position(salt, m.ID), member: m}
+	for i := range members {
+		points[i] = point{hash: position(salt, members[i].ID), member: &members[i]}
 	}
 	slices.SortFunc(points, comparePoints)
 	return points
 }
 
 func comparePoints(a, b point) int {
-	return cmp.Or(cmp.Compare(a.hash, b.hash), strings.Compare(a.member.ID, b.member.ID))
+	if a.hash != b.hash {
+		return cmp.Compare(a.hash, b.hash)
+	}
+	return strings.Compare(a.member.ID, b.member.ID)
 }
 
 func position(salt, id string) uint64 { return xxhash.Sum64String(salt + "/" + id) }
--- a/membership/view.go
+++ b/membership/view.go
@@ -75,7 +75,7 @@
 // Changes grows with each change of the view.
 func (v *View) Changes() uint64 { return v.changes }
 
-// Roster grows when a member enters or leaves the set of live members, which is when the rings change.
+// Roster grows when a member enters or leaves the set of live members or changes its region, which is when the rings change.
 func (v *View) Roster() uint64 { return v.roster }
 
 // Digest returns the digest of the live announcements.
@@ -132,23 +132,28 @@
 	v.announce(now)
 }
 
-// SetRegion announces the region of the own member, which a node may only learn after it has joined.
-func (v *View) SetRegion(now time.Time, region string) {
-	v.self.Region = region
+// SetPlace announces the region and slots of the own member, which a node only learns from the configuration.
+func (v *View) SetPlace(now time.Time, region string, slots int) {
+	v.self.Region, v.self.Slots = region, slots
 	v.announce(now)
 }
 
 // Refute announces the own member again when the view doubts it, and reports whether it did.
 func (v *View) Refute(now time.Time) bool {
-	e, ok := v.entries[v.self.ID]
-	if !ok || e.live() && e.m.doubt() == 0 || e.m.State == StateLeft {
-		return false
-	}
-	if w, ok := v.replacement(e); ok {
-		v.self.Started = w.Started + 1
+	refuted := false
+	for v.doubted() {
+		if w, ok := v.replacement(v.entries[v.self.ID]); ok {
+			v.self.Started = w.Started + 1
+		}
+		v.announce(now)
+		refuted = true
 	}
-	v.announce(now)
-	return true
+	return refuted
+}
+
+func (v *View) doubted() bool {
+	e, ok := v.entries[v.self.ID]
+	return ok && e.m.State != StateLeft && (!e.live() || e.m.doubt() > 0)
 }
 
 func (v *View) announce(now time.Time) {
@@ -266,12 +271,12 @@
 		e = &entry{}
 		v.entries[m.ID] = e
 	}
-	before, wasLive := e.m.Control, known && e.live()
+	before, region, wasLive := e.m.Control, e.m.Region, known && e.live()
 	v.count(e, known, -1)
 	e.m, e.since = m, now
 	v.count(e, true, 1)
 	v.changes++
-	if wasLive != e.live() {
+	if wasLive != e.live() || region != m.Region {
 		v.roster++
 	}
 	if !known || before != m.Control {
--- a/rollout/apply.go
+++ b/rollout/apply.go
@@ -16,7 +16,7 @@
 
 const (
 	applyAttempts = 5
-	applyPause    = 200 * time.Millisecond
+	applyPause    = 100 * time.Millisecond
 )
 
 // StaleError says that another configuration was accepted since the base version was read.
