--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -4,10 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
-	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -17,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"lovagelane/call"
+	"lovagelane/inventory"
 	"lovagelane/kernel"
 )
 
@@ -127,7 +127,7 @@
 		at := func() time.Time { return evening.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "at")) * time.Hour) }
 		s := Snapshot{Nodes: []Node{{ID: name.Draw(t, "id"), Since: at()}}, Seconds: buckets.Draw(t, "seconds"),
 			EventsLost: rapid.Int64Range(0, 2).Draw(t, "lost")}
-		if s.Objectives.Version = rapid.Int64Range(0, 3).Draw(t, "version"); s.Objectives.Version > 0 {
+		if s.Objectives.Version = rapid.Uint64Range(0, 3).Draw(t, "version"); s.Objectives.Version > 0 {
 			s.Objectives.List = []Objective{{Service: "a", Answered: float64(s.Objectives.Version)}}
 		}
 		for range rapid.IntRange(0, 3).Draw(t, "items") {
@@ -250,6 +250,20 @@
 	}, r.Groups)
 }
 
+// Guards against objectives that lose their version, share, duration or line on the way from the rules.
+func TestObjectivesOfConfiguration(t *testing.T) {
+	cfg, problems := inventory.Parse([]inventory.File{{Name: inventory.InventoryFile, Text: "[region rn]\n[availability-zone rn-1]\nregion = rn\n[service nursery]\n" +
+		"timeout = 2s\nslots = 7\nconnections = 9\n[backend-servers nursery rn-1]\ncount = 1\n"},
+		{Name: inventory.RulesFile, Text: "[class orders]\nrank = 1\ndefault = yes\n[objective nursery]\nanswered = 99.9%\nwithin = 500ms\n"}})
+	require.Empty(t, problems)
+	stated, ok := cfg.Objective("nursery")
+	require.True(t, ok)
+	require.InDelta(t, 0.999, stated.Answered, 1e-12)
+	require.Equal(t, Objectives{Version: 4, List: []Objective{
+		{Service: "nursery", Answered: stated.Answered, Within: 500 * time.Millisecond, Line: "rules.ini:4"}}}, ObjectivesOf(cfg.WithVersion(4)))
+	require.Empty(t, ObjectivesOf(nil))
+}
+
 // Guards against operations or events that use up the memory of a node, and against recorders that allocate.
 func TestRecorderIsBounded(t *testing.T) {
 	clock := &testClock{now: evening}
@@ -384,49 +398,20 @@
 	require.Equal(t, "M0 67.5h9v-22.5h-9z", path(columns, KindFailed, 1), "failed is on top of shed")
 }
 
-// Guards against nodes that do not answer, answer nonsense or answer twice and spoil the report.
-func TestCollect(t *testing.T) {
+// Guards against nodes that do not answer, answer nonsense or are asked twice and spoil the report.
+func TestGather(t *testing.T) {
 	_, recorder := example()
-	serve := func(f http.HandlerFunc) string {
-		s := httptest.NewServer(f)
-		t.Cleanup(s.Close)
-		return s.URL
-	}
-	good := func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != Path {
-			http.NotFound(w, r)
-			return
-		}
-		text, _ := recorder.JSON()
-		_, _ = w.Write(text)
-	}
-	first, second := serve(good), serve(good)
-	bad := map[string]string{
-		serve(func(w http.ResponseWriter, _ *http.Request) {
-			_, _ = w.Write([]byte(`{"series":[{"minutes":[[-1]]}]}`))
-		}): "malformed answer",
-		serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{}`)) }): "of 0 nodes",
-		serve(http.NotFound): "answered 404",
-		serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, maxAnswer+1)) }): "exceeds",
-		"127.0.0.1:1": "refused",
-	}
-	addresses := []string{first, strings.TrimPrefix(second, "http://"), first}
-	for address := range bad {
-		addresses = append(addresses, address)
-	}
-	report, failed := Collect(context.Background(), addresses)
-	require.Len(t, failed, len(bad))
-	require.Len(t, report.Missing, len(bad))
-	for _, m := range report.Missing {
-		require.Contains(t, m.Problem, bad[m.Address])
-	}
-	require.Len(t, report.Nodes, 1)
-	require.Contains(t, []string{first, strings.TrimPrefix(second, "http://")}, report.Nodes[0].Address)
-	require.Len(t, report.Rows, 1)
-
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	report, failed = Collect(ctx, []string{first})
-	require.Len(t, failed, 1)
-	require.Empty(t, report.Nodes)
+	s := recorder.Snapshot()
+	got := Gather([]Answer{
+		{Address: "10.0.0.1:7002", Snapshot: s},
+		{Address: "10.0.0.2:7002", Err: errors.New("refused")},
+		{Address: "10.0.0.3:7002"},
+		{Address: "10.0.9.1:7002", Snapshot: s},
+	})
+	require.Len(t, got.Nodes, 1)
+	require.Equal(t, "10.0.0.1:7002", got.Nodes[0].Address)
+	require.Equal(t, []Missing{{"10.0.0.2:7002", "refused"},
+		{"10.0.0.3:7002", "the answer is of 0 nodes instead of one: upgrade the older program"}}, got.Missing)
+	require.Equal(t, s.Series, got.Series)
+	require.Equal(t, "10.0.0.1:9100", s.Nodes[0].Address, "the answers must not change")
 }
--- /dev/null
+++ b/burn/gather.go
@@ -0,0 +1,39 @@
+package burn
+
+import (
+	"fmt"
+
+	"lovagelane/kernel"
+)
+
+// Answer is what one node counted, or why it did not answer.
+type Answer struct {
+	Address  string
+	Snapshot Snapshot
+	Err      error
+}
+
+// Gather joins the answers of all nodes. A node that did not answer, or whose answer is not that of one node, is
+// listed as missing. A node that was asked at two addresses counts once.
+func Gather(answers []Answer) Snapshot {
+	seen := kernel.Set[string]{}
+	parts := make([]Snapshot, 0, len(answers))
+	for _, a := range answers {
+		if a.Err == nil && len(a.Snapshot.Nodes) != 1 {
+			a.Err = fmt.Errorf("the answer is of %d nodes instead of one: upgrade the older program", len(a.Snapshot.Nodes))
+		}
+		if a.Err != nil {
+			parts = append(parts, Snapshot{Missing: []Missing{{Address: a.Address, Problem: a.Err.Error()}}})
+			continue
+		}
+		node := a.Snapshot.Nodes[0]
+		if seen.Has(node.ID) {
+			continue
+		}
+		seen[node.ID] = struct{}{}
+		node.Address = a.Address
+		a.Snapshot.Nodes = []Node{node}
+		parts = append(parts, a.Snapshot)
+	}
+	return Merge(parts...)
+}
--- a/burn/report.go
+++ b/burn/report.go
@@ -106,7 +106,7 @@
 	Missing    []Missing
 	// Whole is the number of nodes that have data for the whole of each window.
 	Whole   [len(Windows)]int
-	Version int64
+	Version uint64
 	Seconds Buckets
 }
 
--- a/burn/snapshot.go
+++ b/burn/snapshot.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"lovagelane/inventory"
 )
 
 // Key names what calls are counted by.
@@ -83,10 +85,23 @@
 
 // Objectives are those of one version of the configuration.
 type Objectives struct {
-	Version int64       `json:"version"`
+	Version uint64      `json:"version"`
 	List    []Objective `json:"list"`
 }
 
+// ObjectivesOf returns the objectives of a configuration, none for nil.
+func ObjectivesOf(cfg *inventory.Config) Objectives {
+	if cfg == nil {
+		return Objectives{}
+	}
+	o := Objectives{Version: cfg.Version()}
+	for _, stated := range cfg.Objectives() {
+		o.List = append(o.List, Objective{Service: stated.Service, Answered: stated.Answered, Within: stated.Within,
+			Line: stated.Line.String()})
+	}
+	return o
+}
+
 // Of returns the objective of a service.
 func (o Objectives) Of(service string) (Objective, bool) {
 	for _, objective := range o.List {
