Record service-level burn and protective states in the node

Cause: nobody watches at night, and what happened was not kept. Change: every end of a call is counted by service, class and operation; avoided backend servers, lowered limits and quarantined requests are noted; operators read it with lovagelane report. Conclusion: the report is merged from the nodes, nothing is stored.

--- a/balance/chooser.go
+++ b/balance/chooser.go
@@ -162,6 +162,17 @@
 // HedgeDelay returns how long to wait for an answer before a hedge is worth sending; zero means unknown.
 func (c *Chooser) HedgeDelay() time.Duration { return c.every.p95 }
 
+// Avoided returns the candidates that are avoided now.
+func (c *Chooser) Avoided() []string {
+	var ids []string
+	for id, p := range c.peers {
+		if p.avoided {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (c *Chooser) tier(place Place) int {
 	switch {
 	case place.Region != c.cfg.Home.Region:
--- a/node/admin.go
+++ b/node/admin.go
@@ -58,6 +58,8 @@
 	case "/debug/vars":
 		ctx.SetContentType("application/json")
 		ctx.SetBodyString(n.metrics.Var().String())
+	case "/burn":
+		writeJSON(ctx, n.burn.Snapshot())
 	case "/drain":
 		n.handleDrain(ctx)
 	default:
@@ -74,6 +76,8 @@
 		n.control.PollStore()
 	case fleet.PathStatus:
 		writeJSON(ctx, n.Status())
+	case fleet.PathBurn:
+		writeJSON(ctx, n.burn.Snapshot())
 	case fleet.PathDrain:
 		n.handleDrain(ctx)
 	default:
--- a/node/backend.go
+++ b/node/backend.go
@@ -51,6 +51,7 @@
 	client  atomic.Pointer[fasthttp.HostClient]
 
 	mu          sync.Mutex
+	stated      int
 	connections int
 	crashes     uint64
 	up          bool
@@ -70,6 +71,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.stated = slots
 	if limit <= 0 || limit == b.connections {
 		return
 	}
@@ -81,6 +83,13 @@
 	b.client.Store(client)
 }
 
+// slots returns the slots that the inventory states.
+func (b *backend) slots() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stated
+}
+
 // crashed records that the backend server process is gone and reports whether this is the first call to notice.
 func (b *backend) crashed() (uint64, bool) {
 	b.mu.Lock()
--- a/node/caller.go
+++ b/node/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -17,6 +18,9 @@
 	pathNodes = "/lovagelane/nodes"
 	// listedNodes is the number of addresses that a caller is given to choose from.
 	listedNodes = 8
+	// maxCallerName and maxRequestID bound what callers state, in bytes.
+	maxCallerName = 64
+	maxRequestID  = 64
 )
 
 // handleCaller serves the callers listener: requests that enter the deployment.
@@ -35,10 +39,11 @@
 		n.refuseCaller(ctx, nil, refusal(call.ReasonDraining, call.OutcomeNotRun, ""))
 		return
 	}
-	n.enter(ctx, string(ctx.Request.Header.Peek(headerCaller)))
+	n.enter(ctx, "")
 }
 
-// enter takes a request into the deployment: class, value, deadline and retry account come from the rules.
+// enter takes a request into the deployment: class, value, deadline and retry account come from the rules. The caller is
+// empty for a request from outside, whose claims are checked.
 func (n *Node) enter(ctx *fasthttp.RequestCtx, caller string) {
 	arrived := n.clock.Now()
 	cfg := n.config.Load()
@@ -84,16 +89,13 @@
 		timeout = stated
 	}
 	if caller == "" {
-		caller = ctx.RemoteIP().String()
-	}
-	if len(caller) > 64 {
-		caller = caller[:64]
+		caller = n.callerName(ctx, string(ctx.Request.Header.Peek(headerCaller)))
 	}
 	out := &outbound{
-		op: op, deadline: arrived.Add(timeout), caller: caller, method: string(ctx.Method()), target: target,
+		op: op, arrived: arrived, deadline: arrived.Add(timeout), caller: caller, method: string(ctx.Method()), target: target,
 		header: &ctx.Request.Header, body: b, requestID: string(ctx.Request.Header.Peek(headerRequestID)),
 	}
-	if out.requestID == "" || len(out.requestID) > 64 {
+	if out.requestID == "" || len(out.requestID) > maxRequestID {
 		out.requestID = n.newRequestID()
 	}
 	out.digest = digestOf(out)
@@ -102,6 +104,21 @@
 	return out
 }
 
+// callerName returns the name by which a caller's share is counted. A name that the rules tie to addresses counts only
+// from those; other callers are known by their address.
+func (n *Node) callerName(ctx *fasthttp.RequestCtx, stated string) string {
+	address, _ := netip.AddrFromSlice(ctx.RemoteIP())
+	address = address.Unmap()
+	if stated == "" || len(stated) > maxCallerName {
+		return address.String()
+	}
+	if known, ok := n.config.Load().Caller(stated); ok && !known.Allows(address) {
+		n.metrics.Add("caller-names-refused", 1)
+		return address.String()
+	}
+	return stated
+}
+
 // digestOf identifies a request by its content; a streamed body counts by its length.
 func digestOf(out *outbound) uint64 {
 	target := "/" + out.op.Service + out.target
@@ -153,11 +170,13 @@
 	switch r := r.(type) {
 	case answered:
 		n.metrics.Add("answered", 1, out.op.Name)
+		n.recordAnswer(out, r.resp.StatusCode())
 		copyResponseHeaders(&ctx.Response.Header, &r.resp.Header)
 		ctx.SetStatusCode(r.resp.StatusCode())
 		ctx.Response.Header.Set(headerOutcome, call.OutcomeRan.String())
 		n.passBody(ctx, r.resp)
 	case kept:
+		n.recordAnswer(out, r.answer.Status)
 		n.writeKept(ctx, r.answer)
 	case refused:
 		n.refuseCaller(ctx, &out.op, r.refusal)
@@ -191,6 +210,7 @@
 		name = op.Name
 	}
 	n.metrics.Add("refused", 1, string(r.Reason), name)
+	n.recordRefusal(op, r)
 	writeRefusal(ctx, r)
 }
 
--- a/node/carry.go
+++ b/node/carry.go
@@ -27,6 +27,7 @@
 	op        inventory.Operation
 	requestID string
 	priority  call.Priority
+	arrived   time.Time
 	deadline  time.Time
 	account   *account
 	depth     uint8
--- a/node/chooser.go
+++ b/node/chooser.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// avoided returns the backend servers that are avoided now, by service.
+func (t *choosers) avoided() map[string][]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	avoided := map[string][]string{}
+	for service, c := range t.byService {
+		c.mu.Lock()
+		if ids := c.choice.Avoided(); len(ids) > 0 {
+			avoided[service] = ids
+		}
+		c.mu.Unlock()
+	}
+	return avoided
+}
+
 // candidates lists the members that serve a service, with the own node.
 func (n *Node) candidates(service string, members map[string]membership.Member) []balance.Candidate {
 	var list []balance.Candidate
--- a/node/inner.go
+++ b/node/inner.go
@@ -110,7 +110,7 @@
 	}
 	_, crashes := f.learned()
 	out := &outbound{
-		op: op, requestID: f.meta.RequestID, priority: f.meta.Priority, deadline: deadline, account: f.account.outgoing(),
+		op: op, arrived: n.clock.Now(), requestID: f.meta.RequestID, priority: f.meta.Priority, deadline: deadline, account: f.account.outgoing(),
 		depth: f.meta.Depth + 1, crashes: crashes, caller: f.meta.Caller, method: string(ctx.Method()), target: target,
 		header: &ctx.Request.Header, body: b, cancelled: f.cancelled,
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 
 	"lovagelane/balance"
+	"lovagelane/burn"
 	"lovagelane/call"
 	"lovagelane/control"
 	"lovagelane/event"
@@ -79,6 +80,7 @@
 	rand     *kernel.Rand
 	log      *event.Log
 	metrics  *event.Metrics
+	burn     *burn.Recorder
 	keyring  *keys.Keyring
 	group    *kernel.Group
 	pool     *kernel.Pool
@@ -132,6 +134,7 @@
 	n.group.Every("admission", admissionTick, 0, n.rand, func(context.Context) { n.gate.tick(n.clock.Now()) })
 	n.group.Every("health", healthInterval, 0.2, n.rand, n.checkHealth)
 	n.group.Every("disconnects", disconnectInterval, 0, n.rand, func(context.Context) { n.watch.check() })
+	n.group.Every("states", eventInterval, 0.2, n.rand, n.noteStates)
 	n.group.Every("upkeep", 10*time.Second, 0.2, n.rand, n.upkeep)
 	n.log.Info("node-started", "member", n.self.ID, "service", n.self.Service, "availability-zone", n.self.AvailabilityZone,
 		"callers", n.addresses.Callers, "calls", n.addresses.Calls, "control", n.addresses.Control, "admin", n.addresses.Admin)
@@ -207,6 +210,7 @@
 	n.addresses = Addresses{Callers: n.self.Callers, Backend: back.Addr().String(), Calls: n.self.Calls, Admin: admin.Addr().String()}
 	n.owned.init(n.secret, n.self.ID, n.self.Calls, n.started)
 	n.attempts.init(n.self.ID)
+	n.burn = burn.NewRecorder(burn.Node{ID: n.self.ID, Address: n.self.Calls, AvailabilityZone: n.self.AvailabilityZone}, n.clock)
 	if err := n.startControl(o); err != nil {
 		return err
 	}
@@ -267,6 +271,7 @@
 		n.log.Warn("not-in-inventory", "service", n.self.Service, "availability-zone", n.self.AvailabilityZone,
 			"remedy", "add a backend-servers section for this service and availability zone")
 	}
+	n.burn.SetObjectives(objectives(cfg))
 	n.gate.setSlots(group.Slots)
 	n.backend.setConnections(group.Slots, group.Connections)
 	region, _ := cfg.Region(n.self.AvailabilityZone)
