--- a/keys/keyring.go
+++ b/keys/keyring.go
@@ -156,7 +156,10 @@
 	return pool, nil
 }
 
-func (m *material) chains(leaf *x509.Certificate, between []*x509.Certificate, usage x509.ExtKeyUsage) ([][]*x509.Certificate, error) {
+// chains checks a certificate against the authorities and returns the ways in which they signed it.
+func (m *material) chains(
+	leaf *x509.Certificate, between []*x509.Certificate, usage x509.ExtKeyUsage,
+) ([][]*x509.Certificate, error) {
 	o := x509.VerifyOptions{Roots: m.authorities, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{usage}}
 	for _, c := range between {
 		o.Intermediates.AddCert(c)
