--- a/node/burn.go
+++ b/node/burn.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"lovagelane/burn"
 	"lovagelane/call"
 	"lovagelane/inventory"
@@ -22,51 +20,32 @@
 			within = objective.Within
 		}
 	}
-	kind := burn.KindGood
-	switch {
-	case status >= fasthttp.StatusInternalServerError:
-		kind = burn.KindFailed
-	case n.clock.Now().Sub(out.arrived) > within:
-		kind = burn.KindLate
+	took := n.clock.Now().Sub(out.arrived)
+	if kind, ok := burn.Classify(call.OutcomeRan, call.ReasonNone, status, took, within); ok {
+		n.burn.Record(keyOf(&out.op), kind)
 	}
-	n.burn.Record(keyOf(&out.op), kind)
 }
 
-// recordRefusal counts a refused call for the burn report. Mistakes of the caller burn nothing.
+// recordRefusal counts a refused call for the burn report and for the shares of its class.
 func (n *Node) recordRefusal(op *inventory.Operation, r call.Refusal) {
 	if op == nil {
 		return
 	}
 	switch r.Reason {
-	case call.ReasonTicketRequired, call.ReasonTicketInvalid, call.ReasonBadRequest, call.ReasonBodyTooLarge,
-		call.ReasonBodyTooSlow, call.ReasonCancelled, call.ReasonRetriesSpent:
-		return
 	case call.ReasonQuarantined:
 		n.burn.Event(burn.EventQuarantined, op.Name)
+	case call.ReasonShed, call.ReasonQueueFull:
+		n.pressures.refused(n.clock.Now(), op.Class)
 	}
-	kind := burn.KindFailed
-	switch {
-	case r.Reason == call.ReasonShed, r.Reason == call.ReasonQueueFull:
-		kind = burn.KindShed
-	case r.Outcome == call.OutcomeUnknown:
-		kind = burn.KindUnknown
+	if kind, ok := burn.Classify(r.Outcome, r.Reason, 0, 0, 0); ok {
+		n.burn.Record(keyOf(op), kind)
 	}
-	n.burn.Record(keyOf(op), kind)
 }
 
 func keyOf(op *inventory.Operation) burn.Key {
 	return burn.Key{Service: op.Service, Class: op.Class, Operation: op.Name}
 }
 
-// objectives returns the objectives of a configuration as the burn report takes them.
-func objectives(cfg *inventory.Config) burn.Objectives {
-	o := burn.Objectives{Version: cfg.Version()}
-	for _, objective := range cfg.Objectives() {
-		o.List = append(o.List, burn.Objective{Service: objective.Service, Answered: objective.Answered, Within: objective.Within})
-	}
-	return o
-}
-
 // noteStates records which backend servers are avoided and whether the own limit is lowered, since nobody may be
 // watching when it happens.
 func (n *Node) noteStates(context.Context) {
--- a/node/node.go
+++ b/node/node.go
@@ -271,7 +271,7 @@
 		n.log.Warn("not-in-inventory", "service", n.self.Service, "availability-zone", n.self.AvailabilityZone,
 			"remedy", "add a backend-servers section for this service and availability zone")
 	}
-	n.burn.SetObjectives(objectives(cfg))
+	n.burn.SetObjectives(burn.ObjectivesOf(cfg))
 	n.gate.setSlots(group.Slots)
 	n.backend.setConnections(group.Slots, group.Connections)
 	region, _ := cfg.Region(n.self.AvailabilityZone)
--- a/node/tables.go
+++ b/node/tables.go
@@ -79,6 +79,12 @@
 	return p.shares.Value(now, class, caller, base)
 }
 
+func (p *pressures) refused(now time.Time, class string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shares.Refused(now, class)
+}
+
 // attempts guards the table of non-idempotent attempts at the own backend server.
 type attempts struct {
 	mu    sync.Mutex
