--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -351,7 +351,7 @@
   3 d     6000   100.00     shed 600
   100% of the bad calls in 6 h: shed, operation order-seedlings, availability zone rn-1 (600 calls)
 
-maps / reloads: no objective; no objective in the rules
+maps / reloads: no objective; add an [objective maps] to the rules to measure it
   window  calls  burn rate  burnt by
   5 min   0      -          -
   1 h     1      -          failed 1
--- a/burn/report.go
+++ b/burn/report.go
@@ -279,10 +279,10 @@
 	return strings.Join(parts, ", ")
 }
 
-// ObjectiveText returns the objective with the line that states it.
+// ObjectiveText returns the objective with the line that states it, or how to state one.
 func (r Row) ObjectiveText() string {
 	if !r.HasObjective {
-		return "no objective in the rules"
+		return "add an [objective " + r.Service + "] to the rules to measure it"
 	}
 	o := r.Objective
 	return fmt.Sprintf("%.6g%% within %s (%s)", 100*o.Answered, o.Within, o.Line)
--- a/command/apply.go
+++ b/command/apply.go
@@ -107,29 +107,39 @@
 	return writeApplied(env, f, result, changes)
 }
 
-// compare returns the version to build on and what the files change against it.
+// compare returns the version to build on and what the files change against the accepted one.
 func compare(ctx context.Context, store platform.Store, cfg *inventory.Config, base int64) (uint64, []inventory.Change, error) {
-	current, ok, err := rollout.Current(ctx, store)
+	old, version, err := acceptedConfig(ctx, store)
 	if err != nil {
-		return 0, nil, fmt.Errorf("not accepted, nothing changed: the store does not answer: %w", err)
-	}
-	var old *inventory.Config
-	if ok {
-		text, found, err := store.Object(ctx, current.Hash)
-		if err != nil || !found {
-			return 0, nil, fmt.Errorf("not accepted, nothing changed: the text of version %d cannot be read: %w", current.Version, err)
-		}
-		files, err := rollout.Decode(text)
-		if err != nil {
-			return 0, nil, err
-		}
-		old, _ = inventory.Parse(files)
+		return 0, nil, fmt.Errorf("not accepted, nothing changed: %w", err)
 	}
 	changes := inventory.Plan(old, cfg)
 	if base >= 0 {
-		return uint64(base), changes, nil
+		version = uint64(base)
+	}
+	return version, changes, nil
+}
+
+// acceptedConfig returns the accepted configuration and its version, or nil and 0 when the store holds none.
+func acceptedConfig(ctx context.Context, store platform.Store) (*inventory.Config, uint64, error) {
+	current, ok, err := rollout.Current(ctx, store)
+	if err != nil || !ok {
+		return nil, 0, err
+	}
+	text, found, err := store.Object(ctx, current.Hash)
+	if err != nil {
+		return nil, 0, fmt.Errorf("the text of version %d cannot be read: %w", current.Version, err)
+	}
+	if !found {
+		return nil, 0, fmt.Errorf("the store has lost the text of version %d: put object %s back", current.Version, current.Hash)
+	}
+	files, err := rollout.Decode(text)
+	if err != nil {
+		return nil, 0, err
 	}
-	return current.Version, changes, nil
+	// A text that only a later release can read has no configuration to compare with; everything then shows as added.
+	cfg, _ := inventory.Parse(files)
+	return cfg, current.Version, nil
 }
 
 // notAccepted adds to a stale base who changed what since then.
--- a/command/check.go
+++ b/command/check.go
@@ -19,7 +19,7 @@
   lovagelane check --format=json . | jq '.problems[].remedy'
 
 Exit codes: 0 no problem; 1 problems were found; 2 wrong usage.`)
-	dir := cmd.Arg("directory", "The directory of the two files.").Default(".").ExistingDir()
+	dir := cmd.Arg("directory", "The directory of the two files; not the files themselves.").Default(".").ExistingDir()
 	format := formatFlag(cmd)
 	cmd.Action(func(*kingpin.ParseContext) error { return check(env, *dir, *format) })
 }
--- a/command/command.go
+++ b/command/command.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -116,11 +117,20 @@
 		}
 		return exit.Code
 	default:
-		fmt.Fprintf(env.Err, "lovagelane: %v: try lovagelane --help\n", err)
+		fmt.Fprintf(env.Err, "lovagelane: %v: %s\n", err, usageRemedy(err))
 		return CodeUsage
 	}
 }
 
+// usageRemedy tells what to do about a wrong command line.
+func usageRemedy(err error) string {
+	text := err.Error()
+	if strings.Contains(text, "is a file") || strings.HasPrefix(text, "unexpected ") && strings.HasSuffix(text, ".ini") {
+		return "name the directory of inventory.ini and rules.ini, not the files"
+	}
+	return "try lovagelane --help"
+}
+
 const (
 	formatText = "text"
 	formatJSON = "json"
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,7 +12,9 @@
 	"github.com/stretchr/testify/require"
 
 	"lovagelane/command"
+	"lovagelane/kernel"
 	"lovagelane/settings"
+	"lovagelane/standin"
 )
 
 const (
@@ -36,6 +40,8 @@
 func TestCommands(t *testing.T) {
 	old := dir(t, oldInventory, rules)
 	next := dir(t, strings.Replace(oldInventory, "slots = 7", "slots = 8", 1), rules)
+	orders := dir(t, oldInventory, rules+"[request order]\nservice = maps\nmethod = POST\npath = /orders\nclass = lookups\n"+
+		"non-idempotent = yes\ntimeout = 1s\n")
 	bad := dir(t, strings.Replace(oldInventory, "timeout = 2s", "timeout = 2", 1), rules)
 	problem := bad + "/inventory.ini:5: timeout = 2 has no unit: add the unit: s or ms\n"
 	for _, c := range []struct {
@@ -58,6 +64,20 @@
 			"inventory.ini:7: backend-servers maps rn-1 connections = 9 (inherited)\n", ""},
 		{"explain --dir=" + old + " service.map", command.CodeProblem, "",
 			"lovagelane: there is no setting \"service.map\": name a section of the files, as in service nursery\n"},
+		{"explain --dir=" + old + " request GET /maps/natal?zoom=3", command.CodeOK, "rule            none     inventory.ini:4 (default)\n" +
+			"class           lookups  rules.ini:3 (default)\nrank            6        rules.ini:2 (inherited)\n" +
+			"non-idempotent  no       inventory.ini:4 (default)\ntimeout         2s       inventory.ini:5 (inherited)\n", ""},
+		{"explain --dir=" + orders + " request POST /maps/%6frders/", command.CodeOK, "rule            order    rules.ini:4 (stated)\n" +
+			"class           lookups  rules.ini:8 (stated)\nrank            6        rules.ini:2 (inherited)\n" +
+			"non-idempotent  yes      rules.ini:9 (stated)\ntimeout         1s       rules.ini:10 (stated)\n", ""},
+		{"explain --dir=" + old + " request GET /natal", command.CodeProblem, "",
+			"lovagelane: there is no service \"natal\": begin the path with a service of the inventory, as in /nursery/orders\n"},
+		{"check " + old + "/inventory.ini", command.CodeUsage, "", "lovagelane: 'inventory.ini' is a file: " +
+			"name the directory of inventory.ini and rules.ini, not the files\n"},
+		{"plan --from=" + old + " --store=http://127.0.0.1:1 " + old, command.CodeUsage, "",
+			"lovagelane: --from and --store exclude each other: try lovagelane --help\n"},
+		{"status --keys=" + old, command.CodeUsage, "",
+			"lovagelane: state either --store, or --node when the store is down: try lovagelane --help\n"},
 		{"weather", command.CodeUsage, "", "lovagelane: expected command but got \"weather\": try lovagelane --help\n"},
 	} {
 		code, out, err := run(strings.Fields(c.args)...)
@@ -131,3 +151,35 @@
 	require.Equal(t, "LOVAGELANE_SETTINGS:15: key is set twice in [keys]: keep one of the lines 12 and 15\n", err)
 	require.Equal(t, []string{"maps"}, started)
 }
+
+// Guards against a plan that an operator cannot pass to apply, because it was not made against the accepted version.
+func TestPlanAgainstStore(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	group := kernel.NewGroup(context.Background())
+	standin.NewPlatform(kernel.SystemClock{}).Serve(group, ln)
+	t.Cleanup(func() { _ = group.Stop() })
+	store := "--store=http://" + ln.Addr().String()
+
+	old := dir(t, oldInventory, rules)
+	next := dir(t, strings.Replace(oldInventory, "count = 1", "count = 2", 1), rules)
+	code, out, errText := run("plan", store, old)
+	require.Equal(t, command.CodeOK, code, errText)
+	require.Contains(t, out, "+ region rn (inventory.ini:1)\n")
+	require.Contains(t, out, "planned against version 0: apply with --base=0\n")
+	code, _, errText = run("apply", store, "--base=0", "--by=ana", old)
+	require.Equal(t, command.CodeOK, code, errText)
+	code, out, errText = run("plan", store, next)
+	require.Equal(t, command.CodeOK, code, errText)
+	require.Equal(t, "~ backend-servers maps rn-1 count: 1 -> 2 (inventory.ini:9)\nplanned against version 1: apply with --base=1\n", out)
+	code, _, errText = run("apply", store, "--base=0", "--by=bo", next)
+	require.Equal(t, command.CodeNotAccepted, code)
+	require.Contains(t, errText, "not accepted: ana applied version 1")
+	code, out, errText = run("plan", store, "--format=json", old)
+	require.Equal(t, command.CodeOK, code, errText)
+	require.JSONEq(t, `{"base":1,"changes":[]}`, out)
+	require.NoError(t, group.Stop())
+	code, _, errText = run("plan", store, old)
+	require.Equal(t, command.CodeNotAccepted, code)
+	require.Equal(t, 1, strings.Count(errText, "\n"), errText)
+}
--- a/command/plan.go
+++ b/command/plan.go
@@ -1,11 +1,14 @@
 package command
 
 import (
+	"context"
+	"errors"
 	"fmt"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"lovagelane/inventory"
+	"lovagelane/platform"
 )
 
 func init() { Commands.Register("plan", addPlan) }
@@ -14,31 +17,62 @@
 	cmd := app.Command("plan", "Show what the files of a directory would change, by service and place.").
 		HelpLong(`Examples:
 
-  lovagelane plan --from=in-force .
-  lovagelane plan --format=json --from=in-force . | jq '.changes[].subject.service'
+  lovagelane plan --store=http://10.0.0.9:8000 .
+  lovagelane plan --from=examples/pamoja .
+  lovagelane plan --format=json --store=http://10.0.0.9:8000 . | jq '.changes[].subject.service'
 
-Without --from, everything is shown as added. A renamed section is shown as removed and added.
+With --store the files are compared with the accepted configuration, and with --from with those of a directory. With
+neither, everything is shown as added. A renamed section is shown as removed and added.
 
-Exit codes: 0 the plan is written, even when it is empty; 1 problems were found; 2 wrong usage.`)
+Exit codes: 0 the plan is written, even when it is empty; 1 problems were found; 2 wrong usage; 3 the store did not answer.`)
 	dir := cmd.Arg("directory", "The directory of the new files.").Default(".").ExistingDir()
 	from := cmd.Flag("from", "The directory of the old files.").ExistingDir()
+	store := cmd.Flag("store", "The base URL of the platform's store, to compare with the accepted configuration.").String()
 	format := formatFlag(cmd)
-	cmd.Action(func(*kingpin.ParseContext) error { return plan(env, *from, *dir, *format) })
+	cmd.Action(func(*kingpin.ParseContext) error {
+		if *from != "" && *store != "" {
+			return errors.New("--from and --store exclude each other")
+		}
+		return plan(env, *from, *store, *dir, *format)
+	})
 }
 
-func plan(env *Env, from, dir, format string) error {
+func plan(env *Env, from, store, dir, format string) error {
+	next, err := readConfig(dir)
+	if err != nil {
+		return reported(env, format, err)
+	}
+	if store != "" {
+		return planAgainstStore(env, store, next, format)
+	}
 	var old *inventory.Config
 	if from != "" {
-		var err error
 		if old, err = readConfig(from); err != nil {
 			return reported(env, format, err)
 		}
 	}
-	next, err := readConfig(dir)
+	return writePlan(env, inventory.Plan(old, next), format)
+}
+
+func planAgainstStore(env *Env, url string, next *inventory.Config, format string) error {
+	store, err := platform.NewClient(url, 0)
 	if err != nil {
-		return reported(env, format, err)
+		return problem(err)
 	}
-	return writePlan(env, inventory.Plan(old, next), format)
+	defer store.Close()
+	old, version, err := acceptedConfig(context.Background(), store)
+	if err != nil {
+		return Exit{Code: CodeNotAccepted, Err: err}
+	}
+	changes := inventory.Plan(old, next)
+	if format == formatJSON {
+		return writeJSON(env.Out, map[string]any{"base": version, "changes": changeRecords(changes)})
+	}
+	if err := writePlan(env, changes, format); err != nil {
+		return err
+	}
+	fmt.Fprintf(env.Out, "planned against version %d: apply with --base=%d\n", version, version)
+	return nil
 }
 
 func writePlan(env *Env, changes []inventory.Change, format string) error {
--- a/command/report.go
+++ b/command/report.go
@@ -31,6 +31,9 @@
 }
 
 func report(env *Env, r *reach, page string) error {
+	if err := r.check(); err != nil {
+		return err
+	}
 	ctx := context.Background()
 	fl, err := fleet.Open(r.keys)
 	if err != nil {
--- a/command/status.go
+++ b/command/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"text/tabwriter"
@@ -27,6 +28,14 @@
 	return r
 }
 
+// check reports a command line that names no way to find the nodes, or two.
+func (r *reach) check() error {
+	if (r.store == "") == (r.node == "") {
+		return errors.New("state either --store, or --node when the store is down")
+	}
+	return nil
+}
+
 func addStatus(app *kingpin.Application, env *Env) {
 	cmd := app.Command("status", "Show services, backend servers, places, versions, and who is draining or suspected.").
 		HelpLong(`Examples:
@@ -55,6 +64,9 @@
 }
 
 func status(env *Env, r *reach, format string) error {
+	if err := r.check(); err != nil {
+		return err
+	}
 	ctx := context.Background()
 	fl, err := fleet.Open(r.keys)
 	if err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,9 +4,12 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -118,13 +121,16 @@
 	}
 	resp, err := f.client.Do(req)
 	if err != nil {
-		return Err.Wrap(err)
+		return unreachable(address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		return Err.Wrap(err)
 	}
+	if resp.StatusCode == http.StatusNotFound {
+		return Err.New("node %s does not know %s for this key: use an operator's key, or upgrade the older program", address, path)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return Err.New("node %s answered %d on %s: %s", address, resp.StatusCode, path, b)
 	}
@@ -134,6 +140,19 @@
 	return Err.Wrap(json.Unmarshal(b, v))
 }
 
+// unreachable explains why a node gave no answer.
+func unreachable(address string, err error) error {
+	var cause *url.Error
+	if errors.As(err, &cause) {
+		err = cause.Err // without the URL, which repeats the address
+	}
+	var header tls.RecordHeaderError
+	if errors.As(err, &header) || strings.Contains(err.Error(), "HTTP response to HTTPS client") {
+		return Err.New("%s does not speak TLS: name the calls address of the node, not callers, backend or admin", address)
+	}
+	return Err.New("node %s does not answer (%v): check the address, which is calls-listen of its settings", address, err)
+}
+
 // Answer is what one node said, or why it did not.
 type Answer[T any] struct {
 	Member membership.Member
