Refuse unreachable control addresses and test a store that hangs

Cause: a node that listens on all addresses announced 0.0.0.0, and a host name as an address could block a dial in name resolution. Change: start refuses an unspecified address with its remedy; dials take IP numbers only. Tests cover a store that never answers, groups that started apart, and large frames that are no text. The benchmark also reports bytes.

--- a/control/control.go
+++ b/control/control.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -179,6 +180,10 @@
 		_, _ = rand.Read(id[:])
 		self.ID = hex.EncodeToString(id[:])
 	}
+	if at, err := netip.ParseAddrPort(self.Control); err != nil || at.Addr().IsUnspecified() {
+		return fmt.Errorf("other nodes cannot reach control address %q: write this instance's own one, as in 10.0.0.1:7300",
+			self.Control)
+	}
 	if !self.Valid() {
 		return errors.New("the own announcement has a field that is too long: shorten the names and addresses in the settings")
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -75,6 +75,31 @@
 	require.Equal(t, []uint64{2}, restarted.inForceVersions(), "an older version was in force first")
 }
 
+// Guards against a store that never answers and holds up joining, the spread of a configuration, or a stop.
+func TestHangingStoreBlocksNothing(t *testing.T) {
+	store := newMemoryStore()
+	applyConfig(t, store, 0)
+	nodes := []*node{startNode(t, place{id: "a", region: "rn", store: store})}
+	eventually(t, "the first one has the configuration", allRun(nodes, 1))
+	for _, id := range []string{"b", "c", "d"} {
+		nodes = append(nodes, startNode(t, place{
+			id: id, region: "rn", seeds: []string{nodes[0].Address()}, store: hangingStore{store},
+		}))
+	}
+	eventually(t, "everyone sees everyone", allSee(nodes, 4))
+	eventually(t, "version 1 in force everywhere", allRun(nodes, 1))
+	require.NoError(t, nodes[3].Stop())
+	eventually(t, "the stopped one has left", allSee(nodes[:3], 3))
+}
+
+// Guards against two groups of nodes that started apart and never find each other while the store is down.
+func TestGroupsFindEachOtherBySeeds(t *testing.T) {
+	left := startRegion(t, 3)
+	right := startNode(t, place{id: "x", region: "rn"})
+	bridge := startNode(t, place{id: "y", region: "rn", seeds: []string{right.Address(), left[0].Address()}})
+	eventually(t, "everyone sees everyone", allSee(append(left, right, bridge), 5))
+}
+
 // Guards against crash reports that are lost, repeated or sent back to the node that reported.
 func TestCrashReportsReachEveryNodeOnce(t *testing.T) {
 	nodes := startNodes(t, 6, nil)
--- a/control/fault_test.go
+++ b/control/fault_test.go
@@ -281,8 +281,8 @@
 	_, err = stream.Write(data)
 	require.NoError(t, err)
 	eventually(t, "the frame after the unknown one is read", func() bool {
-		n.mu.Lock()
-		defer n.mu.Unlock()
+		n.Control.mu.Lock()
+		defer n.Control.mu.Unlock()
 		_, ok := n.view.Get("told")
 		return ok
 	})
@@ -310,6 +310,14 @@
 	require.Equal(t, codeBusy, closed.ErrorCode)
 }
 
+// Guards against an announced address that no other instance can reach.
+func TestStartRefusesUnreachableAddresses(t *testing.T) {
+	for _, listen := range []string{"0.0.0.0:0", ":0", "nonsense"} {
+		_, err := start(t.Context(), Options{Listen: listen}, quick(sharedKeys()))
+		require.ErrorContains(t, err, "10.0.0.1:7300", listen)
+	}
+}
+
 // Guards against a peer without a key of the deployment.
 func TestForeignKeysAreRefused(t *testing.T) {
 	n := startNode(t, place{id: "a", region: "rn"})
--- a/control/frame_test.go
+++ b/control/frame_test.go
@@ -85,7 +85,7 @@
 		{"length beyond every bound", binary.BigEndian.AppendUint32(nil, 1<<31), errMalformed},
 		{"no CBOR", framed([]byte{0xff, 0xff}), errMalformed},
 		{"body of another type", rawFrame(t, kindHeartbeat, "text"), errMalformed},
-		{"large frame that is no text", rawFrame(t, kindCrash, make([]byte, maxFrameBytes)), errMalformed},
+		{"large frame that is no text", rawFrame(t, kindAnnounce, announce{Members: repeat(longest(), 2*membersPerFrame)}), errMalformed},
 		{"text beyond its bound", rawFrame(t, kindText, text{Body: make([]byte, rollout.MaxTextBytes+1)}), errMalformed},
 		{"short digest", rawFrame(t, kindDigest, digest{Parts: []uint64{1}}), errMalformed},
 		{"hello without a member", rawFrame(t, kindHello, hello{}), errMalformed},
--- a/control/idle_test.go
+++ b/control/idle_test.go
@@ -47,7 +47,10 @@
 	b.ReportMetric(float64((processorTime(b)-processor).Microseconds())/float64(max(connections, 1)), "dial-us/connection")
 	time.Sleep(settleSpan)
 	processor = processorTime(b)
+	sent := bytesSent(hub) + bytesSent(caller)
 	time.Sleep(idleSpan)
+	sent = bytesSent(hub) + bytesSent(caller) - sent
+	b.ReportMetric(float64(sent)/idleSpan.Seconds()/float64(max(connections, 1)), "B/s/connection")
 	b.ReportMetric(100*float64(processorTime(b)-processor)/float64(idleSpan), "%core")
 	b.ReportMetric(float64(memoryInUse()-memory)/1024/float64(max(connections, 1)), "KB/connection")
 	require.GreaterOrEqual(b, hub.peerCount(), connections)
@@ -68,6 +71,17 @@
 	return c
 }
 
+// bytesSent counts what QUIC sent on all connections of a node, without UDP and IP headers.
+func bytesSent(c *Control) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := uint64(0)
+	for p := range c.peers {
+		n += p.conn.ConnectionStats().BytesSent
+	}
+	return n
+}
+
 func memoryInUse() int64 {
 	runtime.GC()
 	runtime.GC()
--- a/control/peer.go
+++ b/control/peer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -242,11 +243,12 @@
 func (c *Control) open(ctx context.Context, address string) (*peer, hello, error) {
 	ctxDial, cancel := context.WithTimeout(ctx, c.tuning.dial)
 	defer cancel()
-	remote, err := net.ResolveUDPAddr("udp", address)
+	// Addresses are IP numbers, so that no name service can delay a dial.
+	remote, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, hello{}, err
 	}
-	conn, err := c.transport.Dial(ctxDial, remote, c.tuning.tls.Client(protocol), c.quicConfig())
+	conn, err := c.transport.Dial(ctxDial, net.UDPAddrFromAddrPort(remote), c.tuning.tls.Client(protocol), c.quicConfig())
 	if err != nil {
 		return nil, hello{}, err
 	}
--- a/control/store_test.go
+++ b/control/store_test.go
@@ -10,6 +10,24 @@
 
 var errDown = &platform.UnavailableError{Cause: errors.New("switched off")}
 
+// hangingStore never answers within the life of a test.
+type hangingStore struct{ *memoryStore }
+
+func (hangingStore) Row(ctx context.Context, _, _ string) (platform.Row, bool, error) {
+	<-ctx.Done()
+	return platform.Row{}, false, errDown
+}
+
+func (hangingStore) Rows(ctx context.Context, _ string, _ uint64) (uint64, []platform.Row, error) {
+	<-ctx.Done()
+	return 0, nil, errDown
+}
+
+func (hangingStore) Transact(ctx context.Context, _ string, _ []platform.Write) (platform.Commit, error) {
+	<-ctx.Done()
+	return platform.Commit{}, errDown
+}
+
 // memoryStore is the platform in memory, with a switch for an outage.
 type memoryStore struct {
 	mu       sync.Mutex
