--- a/inventory/config_test.go
+++ b/inventory/config_test.go
@@ -1,6 +1,7 @@
 package inventory_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -131,6 +132,10 @@
 		"restinga-viva": {"payments POST /payments", "nursery POST /orders"},
 		"pamoja":        {"job-booking POST /jobs", "leaf-orders POST /orders"},
 	}
+	sizes := map[string][3]int{
+		"restinga-viva": {1, 70, 500}, "restinga-viva payments": {1, 20, 240},
+		"pamoja": {1, 35, 300}, "pamoja job-booking": {1, 10, 170},
+	}
 	for name, requests := range important {
 		var files []inventory.File
 		for _, base := range []string{inventory.InventoryFile, inventory.RulesFile} {
@@ -148,5 +153,31 @@
 		}
 		require.Len(t, cfg.AvailabilityZones(), 6)
 		require.Len(t, cfg.Groups(), 24)
+		for _, g := range cfg.Groups() {
+			size, ok := sizes[name+" "+g.Service]
+			if !ok {
+				size = sizes[name]
+			}
+			require.Equal(t, size, [3]int{g.Count, g.Slots, g.Connections}, g.Service)
+		}
+	}
+}
+
+// BenchmarkOperation looks up requests among 37 services with 40 rules each.
+func BenchmarkOperation(b *testing.B) {
+	inv := "[region rn]\n[availability-zone rn-1]\nregion = rn\n"
+	rules := "[class lookups]\nrank = 6\ndefault = yes\n"
+	for s := range 37 {
+		inv += fmt.Sprintf("[service s%d]\ntimeout = 2s\nslots = 1\nconnections = 1\n[backend-servers s%d rn-1]\ncount = 1\n", s, s)
+		for r := range 20 {
+			rules += fmt.Sprintf("[request a%d-%d]\nservice = s%d\nclass = lookups\nmethod = GET\npath = /%d/*\n", s, r, s, r)
+			rules += fmt.Sprintf("[request b%d-%d]\nservice = s%d\nclass = lookups\nmethod = POST\npath = /%d\n", s, r, s, r)
+		}
+	}
+	cfg, problems := inventory.Parse(files(inv, rules))
+	require.Empty(b, problems)
+	b.ReportAllocs()
+	for b.Loop() {
+		cfg.Operation("s36", "GET", "/19/orders")
 	}
 }
--- a/node/carry.go
+++ b/node/carry.go
@@ -27,6 +27,7 @@
 	op        inventory.Operation
 	requestID string
 	priority  call.Priority
+	arrived   time.Time
 	deadline  time.Time
 	account   *account
 	depth     uint8
@@ -87,8 +88,9 @@
 		if _, ok := result.(refused); !ok || !n.mayRetry(out, result.(refused).refusal) {
 			return result
 		}
-		for _, id := range t.tried {
-			excluded = excluded.With(id)
+		if result.(refused).refusal.Reason != call.ReasonFenced {
+			// After a silent connection the backend server itself is as good as before.
+			excluded = t.excluded
 		}
 		last = result
 		n.metrics.Add("retries", 1, out.op.Service)
@@ -157,7 +159,6 @@
 	results  chan attemptResult
 	states   chan stateAnswer
 	attempts []*launched
-	tried    []string
 	excluded kernel.Set[string]
 	launched int
 	pending  int
@@ -204,7 +205,6 @@
 		return call.ReasonBusy
 	}
 	t.attempts = append(t.attempts, l)
-	t.tried = append(t.tried, chosen.ID)
 	t.excluded = t.excluded.With(chosen.ID)
 	t.launched++
 	t.pending++
--- a/node/inner.go
+++ b/node/inner.go
@@ -81,7 +81,12 @@
 		n.refuseCaller(ctx, nil, refusal(call.ReasonUnknownService, call.OutcomeNotRun, ""))
 		return
 	}
-	op := cfg.Operation(name, string(ctx.Method()), pathOnly(target))
+	path, ok := rulePath(ctx, name)
+	if !ok {
+		n.refuseCaller(ctx, nil, refusal(call.ReasonBadRequest, call.OutcomeNotRun, ""))
+		return
+	}
+	op := cfg.Operation(name, string(ctx.Method()), path)
 	b, reason := readBody(ctx, service.MaxBody)
 	if reason != call.ReasonNone {
 		n.refuseCaller(ctx, &op, refusal(reason, call.OutcomeNotRun, service.Line.String()))
@@ -105,7 +110,7 @@
 	}
 	_, crashes := f.learned()
 	out := &outbound{
-		op: op, requestID: f.meta.RequestID, priority: f.meta.Priority, deadline: deadline, account: f.account.outgoing(),
+		op: op, arrived: n.clock.Now(), requestID: f.meta.RequestID, priority: f.meta.Priority, deadline: deadline, account: f.account.outgoing(),
 		depth: f.meta.Depth + 1, crashes: crashes, caller: f.meta.Caller, method: string(ctx.Method()), target: target,
 		header: &ctx.Request.Header, body: b, cancelled: f.cancelled,
 	}
