Refuse operators' keys on the control listener

Cause: the keyring accepts every key of the deployment, and a peer on the control listener can announce and doubt members. Change: control's server settings also ask for the role of a node. A test joins two nodes with an issued keyring and the intervals of operation, counts bytes, and shows that an operator's key is refused.

--- a/control/control.go
+++ b/control/control.go
@@ -94,7 +94,7 @@
 // Start listens, joins by seeds and store, and keeps running until Stop or the end of ctx.
 func Start(ctx context.Context, o Options) (*Control, error) {
 	t := defaultTuning()
-	t.tls = o.Keyring
+	t.tls = nodesOnly{o.Keyring}
 	return start(ctx, o, t)
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"testing"
 
+	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/require"
 
+	"lovagelane/event"
 	"lovagelane/inventory"
+	"lovagelane/keys"
 	"lovagelane/quarantine"
 	"lovagelane/rollout"
 )
@@ -130,3 +133,38 @@
 	}
 	require.Empty(t, nodes[0].crashReports())
 }
+
+// Guards against TLS settings of the keyring that QUIC does not take, against intervals of operation that never join, and
+// against an operator's key that is taken for a node's.
+func TestStartJoinsWithTheKeyring(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, keys.Issue(dir))
+	keyring, err := keys.Load(keys.PathsIn(dir, keys.RoleNode))
+	require.NoError(t, err)
+	metrics := event.NewMetrics()
+	var seeds []string
+	var nodes []*node
+	for range 2 {
+		c, err := Start(t.Context(), Options{Listen: "127.0.0.1:0", Seeds: seeds, Keyring: keyring, Metrics: metrics})
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.abort() })
+		nodes = append(nodes, &node{Control: c})
+		seeds = []string{c.Address()}
+	}
+	eventually(t, "both see each other", allSee(nodes, 2))
+	eventually(t, "bytes are counted", func() bool {
+		return metrics.Counter("control-bytes-sent") > 0 && metrics.Counter("control-bytes-received") > 0
+	})
+
+	operator, err := keys.Load(keys.PathsIn(dir, keys.RoleOperator))
+	require.NoError(t, err)
+	conn, err := quic.DialAddr(t.Context(), seeds[0], operator.Client(protocol), &quic.Config{})
+	if err == nil {
+		// The client's handshake ends before the server has checked its certificate.
+		<-conn.Context().Done()
+		err = context.Cause(conn.Context())
+	}
+	var refused *quic.TransportError
+	require.ErrorAs(t, err, &refused)
+	require.True(t, refused.ErrorCode.IsCryptoError(), "%v", err)
+}
--- a/control/tuning.go
+++ b/control/tuning.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"time"
 
+	"lovagelane/keys"
 	"lovagelane/membership"
 	"lovagelane/platform"
 )
@@ -16,6 +17,25 @@
 	Client(protocols ...string) *tls.Config
 }
 
+// nodesOnly is a keyring whose servers refuse operators' keys, because a control peer may change the view of all nodes.
+type nodesOnly struct{ *keys.Keyring }
+
+// Server returns the TLS settings of the keyring with the check of the role.
+func (n nodesOnly) Server(protocols ...string) *tls.Config {
+	c := n.Keyring.Server(protocols...)
+	verify := c.VerifyConnection
+	c.VerifyConnection = func(s tls.ConnectionState) error {
+		if err := verify(s); err != nil {
+			return err
+		}
+		if role, err := keys.PeerRole(s); err != nil || role != keys.RoleNode {
+			return keys.Refused.New("a control peer with the role %q: start it with a node's key", role)
+		}
+		return nil
+	}
+	return c
+}
+
 // tuning holds the intervals and bounds, so that tests can run faster than operation.
 type tuning struct {
 	heartbeat  time.Duration
