Repeat the write of a configuration's text

Cause: against the stand-in, the answer lost first is that of the object, and apply gave up although repeating that write is harmless. Change: the text is written up to three times.

--- a/rollout/apply.go
+++ b/rollout/apply.go
@@ -16,6 +16,7 @@
 
 const (
 	applyAttempts = 5
+	putAttempts   = 3
 	applyPause    = 100 * time.Millisecond
 )
 
@@ -94,7 +95,7 @@
 		return Accepted{}, &NotAcceptedError{Cause: err}
 	}
 	want := Accepted{Version: base + 1, Hash: Hash(text), ApplyID: rand.Text(), By: who}
-	if err := store.PutObject(ctx, want.Hash, text); err != nil {
+	if err := putText(ctx, store, want.Hash, text); err != nil {
 		return Accepted{}, &NotAcceptedError{Cause: err}
 	}
 	writes, err := acceptance(want)
@@ -104,6 +105,15 @@
 	return (&applier{store: store, want: want, writes: writes}).run(ctx)
 }
 
+// putText repeats a failed write, which is harmless because the name is the hash of the content.
+func putText(ctx context.Context, store platform.Store, hash string, text []byte) error {
+	err := store.PutObject(ctx, hash, text)
+	for attempt := 1; err != nil && attempt < putAttempts && pause(ctx, applyPause<<attempt); attempt++ {
+		err = store.PutObject(ctx, hash, text)
+	}
+	return err
+}
+
 func acceptance(want Accepted) ([]platform.Write, error) {
 	value, err := json.Marshal(want)
 	if err != nil {
