--- a/control/control_test.go
+++ b/control/control_test.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"testing"
 
+	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/require"
 
+	"lovagelane/event"
 	"lovagelane/inventory"
+	"lovagelane/keys"
 	"lovagelane/quarantine"
 	"lovagelane/rollout"
 )
@@ -75,6 +78,31 @@
 	require.Equal(t, []uint64{2}, restarted.inForceVersions(), "an older version was in force first")
 }
 
+// Guards against a store that never answers and holds up joining, the spread of a configuration, or a stop.
+func TestHangingStoreBlocksNothing(t *testing.T) {
+	store := newMemoryStore()
+	applyConfig(t, store, 0)
+	nodes := []*node{startNode(t, place{id: "a", region: "rn", store: store})}
+	eventually(t, "the first one has the configuration", allRun(nodes, 1))
+	for _, id := range []string{"b", "c", "d"} {
+		nodes = append(nodes, startNode(t, place{
+			id: id, region: "rn", seeds: []string{nodes[0].Address()}, store: hangingStore{store},
+		}))
+	}
+	eventually(t, "everyone sees everyone", allSee(nodes, 4))
+	eventually(t, "version 1 in force everywhere", allRun(nodes, 1))
+	require.NoError(t, nodes[3].Stop())
+	eventually(t, "the stopped one has left", allSee(nodes[:3], 3))
+}
+
+// Guards against two groups of nodes that started apart and never find each other while the store is down.
+func TestGroupsFindEachOtherBySeeds(t *testing.T) {
+	left := startRegion(t, 3)
+	right := startNode(t, place{id: "x", region: "rn"})
+	bridge := startNode(t, place{id: "y", region: "rn", seeds: []string{right.Address(), left[0].Address()}})
+	eventually(t, "everyone sees everyone", allSee(append(left, right, bridge), 5))
+}
+
 // Guards against crash reports that are lost, repeated or sent back to the node that reported.
 func TestCrashReportsReachEveryNodeOnce(t *testing.T) {
 	nodes := startNodes(t, 6, nil)
@@ -105,3 +133,38 @@
 	}
 	require.Empty(t, nodes[0].crashReports())
 }
+
+// Guards against TLS settings of the keyring that QUIC does not take, against intervals of operation that never join, and
+// against an operator's key that is taken for a node's.
+func TestStartJoinsWithTheKeyring(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, keys.Issue(dir))
+	keyring, err := keys.Load(keys.PathsIn(dir, keys.RoleNode))
+	require.NoError(t, err)
+	metrics := event.NewMetrics()
+	var seeds []string
+	var nodes []*node
+	for range 2 {
+		c, err := Start(t.Context(), Options{Listen: "127.0.0.1:0", Seeds: seeds, Keyring: keyring, Metrics: metrics})
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.abort() })
+		nodes = append(nodes, &node{Control: c})
+		seeds = []string{c.Address()}
+	}
+	eventually(t, "both see each other", allSee(nodes, 2))
+	eventually(t, "bytes are counted", func() bool {
+		return metrics.Counter("control-bytes-sent") > 0 && metrics.Counter("control-bytes-received") > 0
+	})
+
+	operator, err := keys.Load(keys.PathsIn(dir, keys.RoleOperator))
+	require.NoError(t, err)
+	conn, err := quic.DialAddr(t.Context(), seeds[0], operator.Client(protocol), &quic.Config{})
+	if err == nil {
+		// The client's handshake ends before the server has checked its certificate.
+		<-conn.Context().Done()
+		err = context.Cause(conn.Context())
+	}
+	var refused *quic.TransportError
+	require.ErrorAs(t, err, &refused)
+	require.True(t, refused.ErrorCode.IsCryptoError(), "%v", err)
+}
