Start no order whose sender gave up while the owner was paused

Cause: a request that waits in the socket of a paused owner states a remaining time that counts from its sending.

Change: before an owner starts a request it peeks at the connection and does not start it when the sender has closed it; the ticket stays open for a resend.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -66,6 +66,8 @@
 	cmd.Flag("parallel", "Make the calls of a path at once.").BoolVar(&opt.Parallel)
 	cmd.Flag("retries", "Resends of a call that failed, at once.").IntVar(&opt.Retries)
 	cmd.Flag("seed", "Seed of the random source.").Default("1").Uint64Var(&opt.Seed)
+	cmd.Flag("journal", "File to which each start of work is appended.").StringVar(&opt.Journal)
+	cmd.Flag("echo", "Answer with the request body.").BoolVar(&opt.Echo)
 	commands[cmd.FullCommand()] = func(ctx context.Context) error {
 		for _, s := range *calls {
 			c, err := standin.ParsePlannedCall(s)
--- a/node/disconnect.go
+++ b/node/disconnect.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"crypto/tls"
 	"net"
 	"sync"
 	"syscall"
@@ -62,13 +63,40 @@
 	}
 }
 
-// closed peeks at a socket: no byte and no error means that the other end has closed it.
+// abandoned reports whether the sender of the request that was just read from conn has given up on it. A request that
+// waited in the socket while this process was paused states a remaining time that counts from its sending, so only the
+// closed connection shows that its deadline has passed.
+func abandoned(conn net.Conn) bool {
+	secured, isTLS := conn.(*tls.Conn)
+	if isTLS {
+		conn = secured.NetConn()
+	}
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	pending, gone := peek(raw)
+	// A node sends nothing after a request but the alert that ends the TLS session.
+	return gone || isTLS && pending
+}
+
+// closed reports whether the other end has closed a connection.
 func closed(conn syscall.RawConn) bool {
-	gone := false
+	_, gone := peek(conn)
+	return gone
+}
+
+// peek looks at a socket without reading from it: no byte and no error means that the other end has closed it.
+func peek(conn syscall.RawConn) (pending, gone bool) {
 	err := conn.Control(func(fd uintptr) {
 		var b [1]byte
 		count, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		pending = err == nil && count > 0
 		gone = (err == nil && count == 0) || err == unix.ECONNRESET
 	})
-	return gone || err != nil
+	return pending, gone || err != nil
 }
--- a/node/owned.go
+++ b/node/owned.go
@@ -139,9 +139,14 @@
 	}
 }
 
-// startOwned carries a request that the owner started and keeps its answer for resends. A caller that disconnects does
-// not cancel it, because its resend asks for the answer.
+// startOwned carries a request that the owner started and keeps its answer for resends. A caller that disconnects later
+// does not cancel it, because its resend asks for the answer.
 func (n *Node) startOwned(ctx *fasthttp.RequestCtx, out *outbound, t ticket.Ticket, allowance int) {
+	if abandoned(ctx.Conn()) {
+		n.owned.finish(n.clock.Now(), t.Seq, ticket.Answer{Outcome: call.OutcomeNotRun, Reason: call.ReasonCancelled}, allowance)
+		n.refuseCaller(ctx, &out.op, refusal(call.ReasonCancelled, call.OutcomeNotRun, out.op.Line.String()))
+		return
+	}
 	out.account = n.requests.owned(allowance)
 	if !n.pressures.admit(n.clock.Now(), out.op.Name, out.priority) {
 		n.owned.finish(n.clock.Now(), t.Seq, ticket.Answer{Outcome: call.OutcomeNotRun, Reason: call.ReasonShed}, allowance)
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -21,6 +21,7 @@
 	headerDeadline  = "Lovagelane-Deadline-Ms"
 	headerRequestID = "Lovagelane-Request-Id"
 	headerPoison    = "Poison"
+	headerSend      = "Send"
 
 	// coldFactor is how much longer work takes during the cold start.
 	coldFactor = 5
@@ -56,6 +57,10 @@
 	// Retries is how often the backend server itself resends a planned call that failed, at once.
 	Retries int
 	Seed    uint64
+	// Journal is a file to which each start of work is appended as a JSON line; empty means none.
+	Journal string
+	// Echo answers with the request body instead of an Answer.
+	Echo bool
 	// Crash ends the process; nil means os.Exit.
 	Crash func(status int)
 }
@@ -136,6 +141,7 @@
 		work:           map[string][]*work{},
 		slowFactor:     1,
 		reportInFlight: -1,
+		ran:            ranLog{journal: opt.Journal},
 	}
 }
 
@@ -276,7 +282,10 @@
 	}
 	defer func() { <-b.slots }()
 
-	b.ran.add(identify(ctx), string(ctx.Method()), path)
+	if err := b.ran.add(identify(ctx), string(ctx.Method()), path, string(ctx.Request.Header.Peek(headerSend))); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
 	if poisoned(ctx, path) {
 		b.opt.Crash(crashStatus)
 	}
@@ -291,6 +300,10 @@
 		answerJSON(ctx, fasthttp.StatusBadGateway, failed)
 		return
 	}
+	if b.opt.Echo {
+		ctx.SetBody(ctx.PostBody())
+		return
+	}
 	answerJSON(ctx, fasthttp.StatusOK, Answer{Service: b.opt.Service, Path: path, Request: identify(ctx).Request,
 		Straggler: straggler})
 }
--- a/standin/ran.go
+++ b/standin/ran.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"maps"
+	"os"
 	"sync"
 
 	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
 )
 
 // Identity names a request and, when the request carries one, its order. Both are in the JSON body, or the request is
@@ -25,14 +27,29 @@
 	Paths map[string]int `json:"paths"`
 }
 
+// Start is a line of the journal.
+type Start struct {
+	Identity
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	// Send is the header with which a test tells the sends of one request apart.
+	Send string `json:"send,omitempty"`
+}
+
 type ranLog struct {
 	mu  sync.Mutex
 	ran Ran
+	// journal is a file to which each start is appended before the work begins, so that a killed backend server loses no
+	// start; empty means none.
+	journal string
 }
 
-func (l *ranLog) add(id Identity, method, path string) {
+func (l *ranLog) add(id Identity, method, path, send string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if err := l.append(Start{id, method, path, send}); err != nil {
+		return err
+	}
 	if l.ran.Paths == nil {
 		l.ran = Ran{Requests: map[string]int{}, Orders: map[string]int{}, Paths: map[string]int{}}
 	}
@@ -43,6 +60,24 @@
 	if id.Order != "" {
 		l.ran.Orders[path+" "+id.Order]++
 	}
+	return nil
+}
+
+func (l *ranLog) append(s Start) error {
+	if l.journal == "" {
+		return nil
+	}
+	b, err := json.Marshal(s)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	// Several backend servers append whole lines to one file.
+	f, err := os.OpenFile(l.journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = f.Write(append(b, '\n'))
+	return Error.Wrap(errs.Combine(err, f.Close()))
 }
 
 func (l *ranLog) read() Ran {
