--- a/command/apply.go
+++ b/command/apply.go
@@ -94,7 +94,7 @@
 	began := time.Now()
 	accepted, err := rollout.Apply(ctx, store, cfg.Files(), f.by, base)
 	if err != nil {
-		return Exit{Code: CodeNotAccepted, Err: notAccepted(err)}
+		return Exit{Code: CodeNotAccepted, Err: notAccepted(ctx, store, err)}
 	}
 	result := applied{Accepted: true, Version: accepted.Version, ApplyID: accepted.ApplyID, Changes: changeRecords(changes),
 		Waiting: []string{}}
@@ -115,15 +115,9 @@
 	}
 	var old *inventory.Config
 	if ok {
-		text, found, err := store.Object(ctx, current.Hash)
-		if err != nil || !found {
-			return 0, nil, fmt.Errorf("not accepted, nothing changed: the text of version %d cannot be read: %w", current.Version, err)
+		if old, err = readText(ctx, store, current); err != nil {
+			return 0, nil, fmt.Errorf("not accepted, nothing changed: %w", err)
 		}
-		files, err := rollout.Decode(text)
-		if err != nil {
-			return 0, nil, err
-		}
-		old, _ = inventory.Parse(files)
 	}
 	changes := inventory.Plan(old, cfg)
 	if base >= 0 {
@@ -132,8 +126,25 @@
 	return current.Version, changes, nil
 }
 
+// readText returns an accepted configuration, or nil when this release finds problems in it.
+func readText(ctx context.Context, store platform.Store, a rollout.Accepted) (*inventory.Config, error) {
+	text, found, err := store.Object(ctx, a.Hash)
+	if err != nil {
+		return nil, fmt.Errorf("the text of version %d cannot be read: %w", a.Version, err)
+	}
+	if !found {
+		return nil, fmt.Errorf("the text of version %d is not in the store: apply that version's files again", a.Version)
+	}
+	files, err := rollout.Decode(text)
+	if err != nil {
+		return nil, err
+	}
+	cfg, _ := inventory.Parse(files)
+	return cfg, nil
+}
+
 // notAccepted adds to a stale base who changed what since then.
-func notAccepted(err error) error {
+func notAccepted(ctx context.Context, store platform.Store, err error) error {
 	var stale *rollout.StaleError
 	if !errors.As(err, &stale) {
 		return err
@@ -141,10 +152,39 @@
 	text := err.Error()
 	for _, a := range stale.Since {
 		text += fmt.Sprintf("\n  version %d by %s, apply id %s", a.Version, a.By, a.ApplyID)
+		changes, err := changesOf(ctx, store, a)
+		if err != nil {
+			text += fmt.Sprintf("\n    its changes cannot be read: %v", err)
+		}
+		for _, c := range changes {
+			text += "\n    " + c.String()
+		}
 	}
 	return errors.New(text)
 }
 
+// changesOf returns what an accepted configuration changed against the version before it.
+func changesOf(ctx context.Context, store platform.Store, a rollout.Accepted) ([]inventory.Change, error) {
+	var old *inventory.Config
+	before, found, err := rollout.Version(ctx, store, a.Version-1)
+	if err != nil {
+		return nil, err
+	}
+	if found {
+		if old, err = readText(ctx, store, before); err != nil {
+			return nil, err
+		}
+	}
+	cfg, err := readText(ctx, store, a)
+	if err != nil {
+		return nil, err
+	}
+	if cfg == nil {
+		return nil, errors.New("this release does not understand its text: use the release that applied it")
+	}
+	return inventory.Plan(old, cfg), nil
+}
+
 // watchRollout waits until every node that answers has the version in force.
 func watchRollout(ctx context.Context, f *applyFlags, result *applied) error {
 	fl, err := fleet.Open(f.keys)
--- a/failure/once_test.go
+++ b/failure/once_test.go
@@ -127,11 +127,10 @@
 	return outcomes
 }
 
-// Guards against an order that runs twice, a "not run" that ran and a "ran" that did not, when entry, owner and serving
-// nodes and backend servers are killed while callers send their orders again to other nodes.
-func TestOrdersRunOnceWhileProcessesAreKilled(t *testing.T) {
-	const seed, kills, callers = 1, 8, 10
-	w := start(t, orderRules, orderServices("30ms")...)
+// killDuringOrders kills nodes and backend servers of the places in the order that the seed gives, while callers send
+// orders, and checks every answer.
+func (w *world) killDuringOrders(seed uint64, kills int, places []*testbed.Place) {
+	const callers = 10
 	o := &orders{w: w}
 	load, stop := context.WithCancel(w.ctx)
 	defer stop()
@@ -142,23 +141,30 @@
 	r := rand.New(rand.NewPCG(seed, 2))
 	o.progress(50)
 	for range kills {
-		p := w.Places[r.IntN(len(w.Places))]
+		p := places[r.IntN(len(places))]
 		victim := p.Node
 		if r.IntN(2) == 0 {
 			victim = p.Backend
 		}
-		require.NoError(t, victim.Kill())
+		require.NoError(w.t, victim.Kill())
 		o.progress(50)
-		require.NoError(t, victim.Start())
+		require.NoError(w.t, victim.Start())
 		w.serving(p, 1)
 		o.progress(50)
 	}
 	stop()
-	require.NoError(t, g.Wait())
+	require.NoError(w.t, g.Wait())
 	outcomes := o.check()
-	t.Log("answers by outcome:", outcomes)
-	require.NotZero(t, outcomes["ran"])
-	require.NotZero(t, outcomes["unknown"]+outcomes["no answer"], "no kill hit a call in flight")
+	w.t.Log("answers by outcome:", outcomes)
+	require.NotZero(w.t, outcomes["ran"])
+	require.NotZero(w.t, outcomes["unknown"]+outcomes["no answer"], "no kill hit a call in flight")
+}
+
+// Guards against an order that runs twice, a "not run" that ran and a "ran" that did not, when entry, owner and serving
+// nodes and backend servers are killed while callers send their orders again to other nodes.
+func TestOrdersRunOnceWhileProcessesAreKilled(t *testing.T) {
+	w := start(t, orderRules, orderServices("30ms")...)
+	w.killDuringOrders(1, 8, w.Places)
 }
 
 // Guards against a paused owner that starts an order after its caller was told "unknown", also when the configuration
--- a/failure/world_test.go
+++ b/failure/world_test.go
@@ -73,10 +73,15 @@
 // start starts a deployment with configuration 1 in force everywhere and stops it after the test. Each process that still
 // runs must stop by itself.
 func start(t *testing.T, rules string, services ...testbed.Service) *world {
+	return startWith(t, 0, rules, services...)
+}
+
+// startWith leaves room for further processes that the test starts.
+func startWith(t *testing.T, further int64, rules string, services ...testbed.Service) *world {
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
 	t.Cleanup(cancel)
-	count := int64(1)
+	count := 1 + further
 	for _, s := range services {
 		count += 2 * int64(len(s.Zones))
 	}
