--- a/command/apply.go
+++ b/command/apply.go
@@ -94,7 +94,7 @@
 	began := time.Now()
 	accepted, err := rollout.Apply(ctx, store, cfg.Files(), f.by, base)
 	if err != nil {
-		return Exit{Code: CodeNotAccepted, Err: notAccepted(err)}
+		return Exit{Code: CodeNotAccepted, Err: notAccepted(ctx, store, err)}
 	}
 	result := applied{Accepted: true, Version: accepted.Version, ApplyID: accepted.ApplyID, Changes: changeRecords(changes),
 		Waiting: []string{}}
@@ -123,27 +123,35 @@
 // acceptedConfig returns the accepted configuration and its version, or nil and 0 when the store holds none.
 func acceptedConfig(ctx context.Context, store platform.Store) (*inventory.Config, uint64, error) {
 	current, ok, err := rollout.Current(ctx, store)
-	if err != nil || !ok {
-		return nil, 0, err
+	if err != nil {
+		return nil, 0, fmt.Errorf("the store does not answer: %w", err)
+	}
+	if !ok {
+		return nil, 0, nil
 	}
-	text, found, err := store.Object(ctx, current.Hash)
+	cfg, err := readText(ctx, store, current)
+	return cfg, current.Version, err
+}
+
+// readText returns an accepted configuration, or nil when this release finds problems in it.
+func readText(ctx context.Context, store platform.Store, a rollout.Accepted) (*inventory.Config, error) {
+	text, found, err := store.Object(ctx, a.Hash)
 	if err != nil {
-		return nil, 0, fmt.Errorf("the text of version %d cannot be read: %w", current.Version, err)
+		return nil, fmt.Errorf("the text of version %d cannot be read: %w", a.Version, err)
 	}
 	if !found {
-		return nil, 0, fmt.Errorf("the store has lost the text of version %d: put object %s back", current.Version, current.Hash)
+		return nil, fmt.Errorf("the text of version %d is not in the store: apply that version's files again", a.Version)
 	}
 	files, err := rollout.Decode(text)
 	if err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	// A text that only a later release can read has no configuration to compare with; everything then shows as added.
 	cfg, _ := inventory.Parse(files)
-	return cfg, current.Version, nil
+	return cfg, nil
 }
 
 // notAccepted adds to a stale base who changed what since then.
-func notAccepted(err error) error {
+func notAccepted(ctx context.Context, store platform.Store, err error) error {
 	var stale *rollout.StaleError
 	if !errors.As(err, &stale) {
 		return err
@@ -151,10 +159,39 @@
 	text := err.Error()
 	for _, a := range stale.Since {
 		text += fmt.Sprintf("\n  version %d by %s, apply id %s", a.Version, a.By, a.ApplyID)
+		changes, err := changesOf(ctx, store, a)
+		if err != nil {
+			text += fmt.Sprintf("\n    its changes cannot be read: %v", err)
+		}
+		for _, c := range changes {
+			text += "\n    " + c.String()
+		}
 	}
 	return errors.New(text)
 }
 
+// changesOf returns what an accepted configuration changed against the version before it.
+func changesOf(ctx context.Context, store platform.Store, a rollout.Accepted) ([]inventory.Change, error) {
+	var old *inventory.Config
+	before, found, err := rollout.Version(ctx, store, a.Version-1)
+	if err != nil {
+		return nil, err
+	}
+	if found {
+		if old, err = readText(ctx, store, before); err != nil {
+			return nil, err
+		}
+	}
+	cfg, err := readText(ctx, store, a)
+	if err != nil {
+		return nil, err
+	}
+	if cfg == nil {
+		return nil, errors.New("this release does not understand its text: use the release that applied it")
+	}
+	return inventory.Plan(old, cfg), nil
+}
+
 // watchRollout waits until every node that answers has the version in force.
 func watchRollout(ctx context.Context, f *applyFlags, result *applied) error {
 	fl, err := fleet.Open(f.keys)
--- a/control/control.go
+++ b/control/control.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -93,7 +94,7 @@
 // Start listens, joins by seeds and store, and keeps running until Stop or the end of ctx.
 func Start(ctx context.Context, o Options) (*Control, error) {
 	t := defaultTuning()
-	t.tls = o.Keyring
+	t.tls = nodesOnly{o.Keyring}
 	return start(ctx, o, t)
 }
 
@@ -179,6 +180,10 @@
 		_, _ = rand.Read(id[:])
 		self.ID = hex.EncodeToString(id[:])
 	}
+	if at, err := netip.ParseAddrPort(self.Control); err != nil || at.Addr().IsUnspecified() {
+		return fmt.Errorf("other nodes cannot reach control address %q: write this instance's own one, as in 10.0.0.1:7300",
+			self.Control)
+	}
 	if !self.Valid() {
 		return errors.New("the own announcement has a field that is too long: shorten the names and addresses in the settings")
 	}
