--- a/keys/keyring.go
+++ b/keys/keyring.go
@@ -62,6 +62,15 @@
 	return true, nil
 }
 
+// Role returns the role of the current certificate.
+func (k *Keyring) Role() (Role, error) {
+	certificate, err := k.own()
+	if err != nil {
+		return "", err
+	}
+	return roleOf(certificate.Leaf)
+}
+
 // Expires returns the time when the current certificate or the authority that signed it expires.
 func (k *Keyring) Expires() time.Time {
 	m := k.current.Load()
--- a/node/node.go
+++ b/node/node.go
@@ -159,6 +159,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if role, err := keyring.Role(); err != nil || role != keys.RoleNode {
+		return nil, Err.New("%s is for the role %q, which other nodes refuse: use node.pem and its key", o.Settings.Certificate, role)
+	}
 	n.keyring = keyring
 	if n.secret, err = loadTicketKey(o.Settings.TicketKey); err != nil {
 		return nil, err
@@ -246,6 +249,7 @@
 		Handler: handler, Name: "lovagelane", StreamRequestBody: stream, MaxRequestBodySize: bufferedBody,
 		ReadBufferSize: maxHeaders, ReadTimeout: slowBody, IdleTimeout: serverIdle, NoDefaultDate: true,
 		NoDefaultContentType: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: quietLogger{},
+		ErrorHandler: n.refuseUnreadable,
 	}
 	n.servers = append(n.servers, s)
 	n.group.Go(name, func(context.Context) error { return s.Serve(ln) })
--- a/node/owned.go
+++ b/node/owned.go
@@ -62,7 +62,12 @@
 	t, err := n.owned.issuer.Parse(token)
 	if err != nil {
 		n.log.Warn("ticket-invalid", "caller", out.caller, "error", err)
-		n.refuseCaller(ctx, &out.op, refusal(call.ReasonTicketInvalid, call.OutcomeNotRun, out.op.Line.String()))
+		r := refusal(call.ReasonTicketInvalid, call.OutcomeNotRun, out.op.Line.String())
+		if ticket.ErrForged.Has(err) {
+			// Nodes have different keys while the ticket key is rotated, so the request of this ticket may have run.
+			r.Outcome, r.Remedy = call.OutcomeUnknown, remedies[call.ReasonTicketExpired]
+		}
+		n.refuseCaller(ctx, &out.op, r)
 		return
 	}
 	if t.Owner != n.self.ID {
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"net"
 
 	"github.com/valyala/fasthttp"
 
@@ -54,6 +56,23 @@
 	call.ReasonCancelled:      499,
 }
 
+// refuseUnreadable answers a request that could not be read, so that its caller learns that it did not run.
+func (n *Node) refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
+	r := refusal(call.ReasonBadRequest, call.OutcomeNotRun, "")
+	var large *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &large):
+		r.Remedy = "send fewer or shorter headers: they are larger than 16 KB together"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		r = refusal(call.ReasonBodyTooSlow, call.OutcomeNotRun, "")
+	}
+	n.refuseCaller(ctx, nil, r)
+	if large != nil {
+		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
+	}
+}
+
 // refusalBody is the JSON body of a refusal.
 type refusalBody struct {
 	Reason  call.Reason `json:"reason"`
