Let apply repair a store that lost a text

Cause: plan and apply read the accepted text for comparison and failed when the store had lost it, with the remedy to apply again, which failed the same way.

Change: apply goes on without the comparison when the text is missing; plan still reports it.

Measured: TestApplyRepairsALostText fails before the change and passes after it.

Conclusion: the remedy in the message works.

--- a/command/apply.go
+++ b/command/apply.go
@@ -110,7 +110,7 @@
 // compare returns the version to build on and what the files change against the accepted one.
 func compare(ctx context.Context, store platform.Store, cfg *inventory.Config, base int64) (uint64, []inventory.Change, error) {
 	old, version, err := acceptedConfig(ctx, store)
-	if err != nil {
+	if err != nil && !errors.Is(err, errTextMissing) {
 		return 0, nil, fmt.Errorf("not accepted, nothing changed: %w", err)
 	}
 	changes := inventory.Plan(old, cfg)
@@ -133,6 +133,9 @@
 	return cfg, current.Version, err
 }
 
+// errTextMissing means that the store lost a text. Apply goes on without it, because applying again is the remedy.
+var errTextMissing = errors.New("the store has lost the text")
+
 // readText returns an accepted configuration, or nil when this release finds problems in it.
 func readText(ctx context.Context, store platform.Store, a rollout.Accepted) (*inventory.Config, error) {
 	text, found, err := store.Object(ctx, a.Hash)
@@ -140,7 +143,7 @@
 		return nil, fmt.Errorf("the text of version %d cannot be read: %w", a.Version, err)
 	}
 	if !found {
-		return nil, fmt.Errorf("the text of version %d is not in the store: apply that version's files again", a.Version)
+		return nil, fmt.Errorf("%w of version %d: apply that version's files again", errTextMissing, a.Version)
 	}
 	files, err := rollout.Decode(text)
 	if err != nil {
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net"
 	"os"
 	"path/filepath"
@@ -13,6 +14,8 @@
 
 	"lovagelane/command"
 	"lovagelane/kernel"
+	"lovagelane/platform"
+	"lovagelane/rollout"
 	"lovagelane/settings"
 	"lovagelane/standin"
 )
@@ -183,3 +186,27 @@
 	require.Equal(t, command.CodeNotAccepted, code)
 	require.Equal(t, 1, strings.Count(errText, "\n"), errText)
 }
+
+// Guards against a store that lost a text and then refuses the apply that would repair it.
+func TestApplyRepairsALostText(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	group := kernel.NewGroup(context.Background())
+	standin.NewPlatform(kernel.SystemClock{}).Serve(group, ln)
+	t.Cleanup(func() { _ = group.Stop() })
+	client, err := platform.NewClient("http://"+ln.Addr().String(), 0)
+	require.NoError(t, err)
+	t.Cleanup(client.Close)
+	row, err := json.Marshal(rollout.Accepted{Version: 1, Hash: strings.Repeat("a", 64), ApplyID: "x", By: "ana"})
+	require.NoError(t, err)
+	_, err = client.Transact(t.Context(), platform.ConfigTable, []platform.Write{{Key: platform.CurrentKey, Value: string(row)}})
+	require.NoError(t, err)
+
+	store, files := "--store=http://"+ln.Addr().String(), dir(t, oldInventory, rules)
+	code, _, errText := run("plan", store, files)
+	require.Equal(t, command.CodeNotAccepted, code)
+	require.Contains(t, errText, "the store has lost the text of version 1: apply that version's files again")
+	code, out, errText := run("apply", store, files)
+	require.Equal(t, command.CodeOK, code, errText)
+	require.Contains(t, out, "accepted as version 2")
+}
