--- a/command/apply.go
+++ b/command/apply.go
@@ -107,23 +107,27 @@
 	return writeApplied(env, f, result, changes)
 }
 
-// compare returns the version to build on and what the files change against it.
+// compare returns the version to build on and what the files change against the accepted one.
 func compare(ctx context.Context, store platform.Store, cfg *inventory.Config, base int64) (uint64, []inventory.Change, error) {
-	current, ok, err := rollout.Current(ctx, store)
+	old, version, err := acceptedConfig(ctx, store)
 	if err != nil {
-		return 0, nil, fmt.Errorf("not accepted, nothing changed: the store does not answer: %w", err)
-	}
-	var old *inventory.Config
-	if ok {
-		if old, err = readText(ctx, store, current); err != nil {
-			return 0, nil, fmt.Errorf("not accepted, nothing changed: %w", err)
-		}
+		return 0, nil, fmt.Errorf("not accepted, nothing changed: %w", err)
 	}
 	changes := inventory.Plan(old, cfg)
 	if base >= 0 {
-		return uint64(base), changes, nil
+		version = uint64(base)
+	}
+	return version, changes, nil
+}
+
+// acceptedConfig returns the accepted configuration and its version, or nil and 0 when the store holds none.
+func acceptedConfig(ctx context.Context, store platform.Store) (*inventory.Config, uint64, error) {
+	current, ok, err := rollout.Current(ctx, store)
+	if err != nil || !ok {
+		return nil, 0, err
 	}
-	return current.Version, changes, nil
+	cfg, err := readText(ctx, store, current)
+	return cfg, current.Version, err
 }
 
 // readText returns an accepted configuration, or nil when this release finds problems in it.
--- a/node/caller.go
+++ b/node/caller.go
@@ -136,7 +136,8 @@
 	stated, _ := strconv.Atoi(string(ctx.Request.Header.Peek(headerResend)))
 	send := retry.Send{Caller: out.caller, RequestID: string(ctx.Request.Header.Peek(headerRequestID)), Digest: out.digest, Stated: stated}
 	a, resend, ok := n.requests.begin(now, send)
-	good := false
+	// A send that no backend server was tried for is no retry: counting it would refuse callers after an overload.
+	good := true
 	defer func() { n.requests.end(n.clock.Now(), send, resend, good) }()
 	if !ok {
 		n.refuseCaller(ctx, &out.op, refusal(call.ReasonRetriesSpent, call.OutcomeNotRun, out.op.Line.String()))
@@ -151,7 +152,9 @@
 	defer stop()
 	out.cancelled = watch
 	r := n.carry(out)
-	_, good = r.(answered)
+	if _, ok := r.(refused); ok {
+		good = out.attempts == 0
+	}
 	n.finishCaller(ctx, out, r)
 }
 
