Build the rings from the configuration's regions

Cause: a deployment of six nodes sometimes stayed split into two groups of three for 15 s and more ('the node sees 4 of 5 other nodes serving'). Rings were built from announced regions; a node that got the first configuration earlier announced its region earlier, and two groups each saw the other in the region without a name, whose links the other side was to dial. Ruled out: loss of a flooded update, since views are compared on each new connection; a slow machine, since the logs show the splits at rest. Change: rings and suspicion take the region from the own configuration. Result: TestRingsDoNotDependOnAnnouncedRegions reaches 3 of 6 members with announced regions and all 6 with the change. Conclusion: announced regions serve status only.

--- a/control/control.go
+++ b/control/control.go
@@ -64,10 +64,12 @@
 	renewNow  chan struct{}
 
 	// mu guards what follows. No I/O and no callback happens while it is held.
-	mu     sync.Mutex
-	view   *membership.View
-	rings  membership.Rings
-	roster uint64
+	mu    sync.Mutex
+	view  *membership.View
+	rings membership.Rings
+	// ringsConfig is the configuration that the rings were built with.
+	ringsConfig *inventory.Config
+	roster      uint64
 	// list is the answer of others as of the change listed.
 	list     []membership.Member
 	listed   uint64
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -11,6 +11,7 @@
 	"lovagelane/event"
 	"lovagelane/inventory"
 	"lovagelane/keys"
+	"lovagelane/membership"
 	"lovagelane/quarantine"
 	"lovagelane/rollout"
 )
@@ -168,3 +169,28 @@
 	require.ErrorAs(t, err, &refused)
 	require.True(t, refused.ErrorCode.IsCryptoError(), "%v", err)
 }
+
+// Guards against rings that split the nodes into groups, when some announcements are older than the first configuration.
+func TestRingsDoNotDependOnAnnouncedRegions(t *testing.T) {
+	cfg, problems := inventory.Parse([]inventory.File{{Name: "inventory.ini", Text: fmt.Sprintf(testInventory, 1)},
+		{Name: "rules.ini", Text: testRules}})
+	require.Empty(t, problems)
+	c := &Control{held: held{config: cfg}}
+	var members []membership.Member
+	for i := range 6 {
+		m := membership.Member{ID: fmt.Sprint(i), AvailabilityZone: "rn-1", Region: []string{"", "rn"}[i%2]}
+		members = append(members, m)
+	}
+	rings := membership.NewRings(c.placed(members))
+	reached := map[string]bool{"0": true}
+	for range members {
+		for _, m := range c.placed(members) {
+			for _, next := range rings.Watched(m) {
+				if reached[m.ID] || reached[next.ID] {
+					reached[m.ID], reached[next.ID] = true, true
+				}
+			}
+		}
+	}
+	require.Len(t, reached, len(members))
+}
--- a/control/watch.go
+++ b/control/watch.go
@@ -91,13 +91,14 @@
 		// Stop still needs the connections to announce it.
 		return
 	}
-	if c.view.Roster() != c.roster {
-		c.roster = c.view.Roster()
-		c.rings = membership.NewRings(c.view.Live())
+	if c.view.Roster() != c.roster || c.held.config != c.ringsConfig {
+		c.roster, c.ringsConfig = c.view.Roster(), c.held.config
+		c.rings = membership.NewRings(c.placed(c.view.Live()))
 		c.adopter.Forget(c.view.IsLive)
 	}
 	wanted := map[string]membership.Member{}
 	ring := map[string]bool{}
+	self = c.placed([]membership.Member{self})[0]
 	for _, m := range c.rings.Watched(self) {
 		wanted[m.ID], ring[m.ID] = m, true
 	}
@@ -123,6 +124,20 @@
 	c.dropSeeds()
 }
 
+// placed returns members with their regions as the own configuration states them, or in one region while there is none. An
+// announcement may still carry the region of before the member had a configuration; rings built on such announcements
+// split the nodes into groups that no longer hear of each other.
+func (c *Control) placed(members []membership.Member) []membership.Member {
+	placed := slices.Clone(members)
+	for i := range placed {
+		placed[i].Region = ""
+		if c.held.config != nil {
+			placed[i].Region, _ = c.held.config.Region(placed[i].AvailabilityZone)
+		}
+	}
+	return placed
+}
+
 // askFor returns more peers to ask while this node has no configuration and cannot read the store.
 func (c *Control) askFor() []membership.Member {
 	if c.adopter.InForce() > 0 || c.storeState.ConfigRead {
@@ -201,7 +216,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current, _ := c.view.Get(m.ID)
-	if !w.ring || current.Region != c.view.Self().Region || !c.view.Suspect(c.now(), m.ID) {
+	pair := []membership.Member{current, c.view.Self()}
+	if c.held.config != nil {
+		pair = c.placed(pair)
+	}
+	if !w.ring || pair[0].Region != pair[1].Region || !c.view.Suspect(c.now(), m.ID) {
 		return
 	}
 	c.pending[m.ID] = nil
