Pass the level of a local refusal on to the entry

A calling node that knew from its chooser that the deep service refuses the priority told nobody above it, so the entry never learned the level. Change: None carries the least strict level of the refusing backend servers, and the call brings it back like one from an answer. The balance test now also requires the level, which is stricter.

--- a/balance/chooser_test.go
+++ b/balance/chooser_test.go
@@ -101,7 +101,7 @@
 	d.warm("a")
 	refusal := balance.Result{Latency: time.Millisecond, Outcome: call.OutcomeNotRun, Reason: call.ReasonShed, Answered: true, Level: level}
 	d.send("a", refusal)
-	require.Equal(t, balance.None{Reason: call.ReasonShed}, d.c.Choose(d.now, balance.Query{Priority: bulk}))
+	require.Equal(t, balance.None{Reason: call.ReasonShed, Level: level}, d.c.Choose(d.now, balance.Query{Priority: bulk}))
 	require.Equal(t, balance.Chosen{ID: "a"}, d.c.Choose(d.now, balance.Query{Priority: important}))
 	d.now = d.now.Add(time.Second)
 	require.Equal(t, balance.Chosen{ID: "a"}, d.c.Choose(d.now, balance.Query{Priority: bulk}))
