--- a/command/apply.go
+++ b/command/apply.go
@@ -123,11 +123,8 @@
 // acceptedConfig returns the accepted configuration and its version, or nil and 0 when the store holds none.
 func acceptedConfig(ctx context.Context, store platform.Store) (*inventory.Config, uint64, error) {
 	current, ok, err := rollout.Current(ctx, store)
-	if err != nil {
-		return nil, 0, fmt.Errorf("the store does not answer: %w", err)
-	}
-	if !ok {
-		return nil, 0, nil
+	if err != nil || !ok {
+		return nil, 0, err
 	}
 	cfg, err := readText(ctx, store, current)
 	return cfg, current.Version, err
