Test that bad input leaves no metric and no call behind

Cause: the tables of bad input looked at each response, not at what 300 different malformed requests leave in a node.

Change: a test sends 900 requests with different services, caller names, request ids, tickets and paths twice over and compares the number of metrics, and looks for calls in flight.

Conclusion: what is counted does not grow with the variety of bad input from callers.

--- a/node/input_test.go
+++ b/node/input_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"crypto/tls"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -350,3 +351,28 @@
 		}
 	})
 }
+
+// Guards against a metric or a call in flight that stays behind for each different malformed request.
+func TestBadInputLeavesNothingBehind(t *testing.T) {
+	w := newWorld(t, chainInventory, chainRules)
+	s := w.station("nursery", text("ok"))
+	names := func() int {
+		var vars struct{ Counters, Gauges, Durations map[string]any }
+		require.NoError(t, json.Unmarshal(w.send(s.Addresses().Admin, "GET", "/debug/vars", "").Body(), &vars))
+		return len(vars.Counters) + len(vars.Gauges) + len(vars.Durations)
+	}
+	batch := func(from int) {
+		for i := from; i < from+300; i++ {
+			id := fmt.Sprint(i)
+			w.send(s.Addresses().Callers, "GET", "/service-"+id+"/x", "", "Lovagelane-Caller", "caller-"+id)
+			w.send(s.Addresses().Callers, "POST", "/nursery/orders", id, "Lovagelane-Ticket", "ticket-"+id, "Lovagelane-Request-Id", id)
+			w.send(s.Addresses().Callers, "GET", "/nursery/"+id+"/../../x", "")
+		}
+	}
+	batch(0)
+	before := names()
+	batch(1000)
+	require.Equal(t, before, names())
+	require.Zero(t, s.Status().InFlight)
+	require.Zero(t, s.ran.Load())
+}
