Send recent crash reports to peers that connect, and delete lapsed rows

Cause: in one of two runs under the race detector a crash report missed a node whose connections were being replaced; crash reports have no anti-entropy. A node that crashes also left its row in the members table for good. A starting node deletes up to eight rows older than thirty leases, under the condition that they did not change. The row test is red when every row counts as fresh and when rows are deleted after one lease. Conclusion: a report reaches every node that has or gets a connection.

--- a/control/config.go
+++ b/control/config.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"lovagelane/inventory"
+	"lovagelane/kernel"
 	"lovagelane/membership"
 	"lovagelane/platform"
 	"lovagelane/rollout"
@@ -247,6 +249,9 @@
 			// A table with a lower revision was set up anew.
 			since = 0
 		default:
+			if since == 0 {
+				c.deleteLapsed(ctx, rows)
+			}
 			since = revision
 			c.takeRows(rows)
 		}
@@ -255,6 +260,24 @@
 	return nil
 }
 
+// deleteLapsed removes a few rows of nodes that ended without notice long ago, which nobody else would remove.
+func (c *Control) deleteLapsed(ctx context.Context, rows []platform.Row) {
+	var writes []platform.Write
+	for _, row := range rows {
+		if !row.Deleted && row.Age() > lapsedLeases*c.tuning.lease && len(writes) < lapsedRows {
+			writes = append(writes, platform.Write{Key: row.Key, Delete: true, IfVersion: kernel.Some(row.Version)})
+		}
+	}
+	if len(writes) == 0 {
+		return
+	}
+	_, err := c.store.Transact(ctx, platform.MembersTable, writes)
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		c.noteStore("delete-lapsed", err)
+	}
+}
+
 func (c *Control) takeRows(rows []platform.Row) {
 	c.mu.Lock()
 	for _, row := range rows {
--- a/control/control.go
+++ b/control/control.go
@@ -77,6 +77,9 @@
 	pending map[string]*peer
 	crashes map[*peer][]quarantine.Report
 	seen    seen[quarantine.Report]
+	// recent holds the latest crash reports for peers that connect later, because a flood misses a node whose
+	// connections are just being replaced.
+	recent []recentCrash
 	// synced means that a peer has answered a digest, so that the view is not this node's alone.
 	synced     bool
 	refutedAt  time.Time
@@ -248,7 +251,7 @@
 	defer c.mu.Unlock()
 	for _, r := range reports {
 		if c.seen.add(r) {
-			c.crashes[nil] = append(c.crashes[nil], r)
+			c.queueCrash(nil, r)
 		}
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/require"
@@ -11,6 +12,7 @@
 	"lovagelane/event"
 	"lovagelane/inventory"
 	"lovagelane/keys"
+	"lovagelane/platform"
 	"lovagelane/quarantine"
 	"lovagelane/rollout"
 )
@@ -132,6 +134,33 @@
 		require.Equal(t, []quarantine.Report{report, later}, n.crashReports())
 	}
 	require.Empty(t, nodes[0].crashReports())
+
+	late := startNode(t, place{id: "late", region: "rn", seeds: []string{nodes[0].Address()}})
+	eventually(t, "a node that joins later has both", func() bool { return len(late.crashReports()) == 2 })
+}
+
+// Guards against rows of dead nodes that are counted on or stay for good, and against a leave that keeps its row.
+func TestRowsOfDeadNodes(t *testing.T) {
+	store := newMemoryStore()
+	for key, age := range map[string]time.Duration{"old": 2 * time.Hour, "lapsed": 3 * time.Minute, "fresh": time.Second} {
+		value := fmt.Sprintf(`{"member":{"id":%q,"counter":1,"control":%q,"state":"serving"},"lease-ms":120000}`, key, key)
+		_, err := store.Transact(t.Context(), platform.MembersTable, []platform.Write{{Key: key, Value: value}})
+		require.NoError(t, err)
+		row := store.rows[platform.MembersTable][key]
+		row.AgeMillis = age.Milliseconds()
+		store.rows[platform.MembersTable][key] = row
+	}
+	n := startNode(t, place{id: "a", region: "rn", store: store})
+	exists := func(key string) bool {
+		_, ok, err := store.Row(t.Context(), platform.MembersTable, key)
+		return ok && err == nil
+	}
+	eventually(t, "the old row is deleted and the own one written", func() bool { return !exists("old") && exists("a") })
+	require.True(t, exists("lapsed") && exists("fresh"))
+	eventually(t, "the fresh row is a member", func() bool { return len(n.Members()) == 1 })
+	require.Equal(t, "fresh", n.Members()[0].ID)
+	require.NoError(t, n.Stop())
+	require.False(t, exists("a"))
 }
 
 // Guards against TLS settings of the keyring that QUIC does not take, against intervals of operation that never join, and
--- a/control/handle.go
+++ b/control/handle.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"slices"
+	"time"
+
 	"lovagelane/membership"
 	"lovagelane/quarantine"
 )
@@ -62,6 +65,7 @@
 	c.peers[p] = struct{}{}
 	c.correct(p, h.Member)
 	c.merge(p, h.Member, true)
+	c.sendRecentCrashes(p)
 	if p.outgoing {
 		p.send(digestFrame(c.view.Digest()))
 	}
@@ -181,13 +185,40 @@
 	}
 }
 
+type recentCrash struct {
+	report quarantine.Report
+	at     time.Time
+}
+
+// queueCrash queues a new report for flooding and for peers that connect later; the caller holds the lock.
+func (c *Control) queueCrash(origin *peer, r quarantine.Report) {
+	c.crashes[origin] = append(c.crashes[origin], r)
+	if len(c.recent) == recentCrashes {
+		c.recent = slices.Delete(c.recent, 0, 1)
+	}
+	c.recent = append(c.recent, recentCrash{report: r, at: c.now()})
+}
+
+// sendRecentCrashes tells a new peer the reports that may still matter; the caller holds the lock.
+func (c *Control) sendRecentCrashes(p *peer) {
+	var reports []quarantine.Report
+	for _, r := range c.recent {
+		if c.now().Sub(r.at) < recentSpan {
+			reports = append(reports, r.report)
+		}
+	}
+	if len(reports) > 0 {
+		p.send(crash{Reports: reports})
+	}
+}
+
 func (c *Control) takeCrash(p *peer, reports []quarantine.Report) {
 	var fresh []quarantine.Report
 	c.mu.Lock()
 	for _, r := range reports {
 		if c.seen.add(r) {
 			fresh = append(fresh, r)
-			c.crashes[p] = append(c.crashes[p], r)
+			c.queueCrash(p, r)
 		}
 	}
 	c.mu.Unlock()
--- a/control/tuning.go
+++ b/control/tuning.go
@@ -100,6 +100,14 @@
 	queuedFrames = 512
 	// askedPeers is the number of peers that a node without configuration asks at a time.
 	askedPeers = 5
+	// lapsedLeases is the age, in leases, at which a row is deleted; a paused node writes its row again when it resumes.
+	lapsedLeases = 30
+	// lapsedRows bounds how many rows a starting node deletes.
+	lapsedRows = 8
+	// recentCrashes fit one frame.
+	recentCrashes = reportsPerFrame
+	// recentSpan is the time for which a request stays quarantined.
+	recentSpan = 10 * time.Minute
 	// seenCrashes bounds the memory of crash reports that were already passed on.
 	seenCrashes = 8192
 )
