--- a/cmd/bench/chain.go
+++ b/cmd/bench/chain.go
@@ -23,7 +23,7 @@
 	recoveredShare  = 0.95
 	swingTarget     = 2 * time.Second
 	callerTimeout   = time.Second
-	// smooth is the width over which goodput is averaged when a moment is looked for.
+	// smooth is the width over which goodput is averaged when the moment of a rise is looked for.
 	smooth = 500 * time.Millisecond
 )
 
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -301,9 +301,15 @@
 	return exchange(ctx, "POST", b.Store+"/standin/faults", f, nil)
 }
 
-// Metrics returns the metrics of the place's node as they are served.
-func (p *Place) Metrics(ctx context.Context) (map[string]any, error) {
-	var m map[string]any
+// Metrics are the numbers that a node serves.
+type Metrics struct {
+	Counters map[string]int64 `json:"counters"`
+	Gauges   map[string]int64 `json:"gauges"`
+}
+
+// Metrics returns the metrics of the place's node.
+func (p *Place) Metrics(ctx context.Context) (Metrics, error) {
+	var m Metrics
 	err := exchange(ctx, "GET", "http://"+p.Admin+"/debug/vars", nil, &m)
 	return m, err
 }
