--- a/balance/chooser.go
+++ b/balance/chooser.go
@@ -43,7 +43,11 @@
 }
 
 // None means that no backend server takes the call now.
-type None struct{ Reason call.Reason }
+type None struct {
+	Reason call.Reason
+	// Level is the least strict admission level of the backend servers that refuse the priority; it is set with ReasonShed.
+	Level call.Priority
+}
 
 func (Chosen) choice() {}
 func (None) choice()   {}
--- a/node/carry.go
+++ b/node/carry.go
@@ -42,7 +42,8 @@
 	cancelled <-chan struct{}
 
 	// What the attempts brought back.
-	level call.Priority
+	level    call.Priority
+	attempts int
 }
 
 // reply is the end of a carried call: answered, kept or refused.
@@ -185,7 +186,7 @@
 	choice, token := t.chooser.choose(now, balance.Query{Priority: t.out.priority, Exclude: t.excluded})
 	chosen, ok := choice.(balance.Chosen)
 	if !ok {
-		return choice.(balance.None).Reason
+		return t.noChoice(choice.(balance.None))
 	}
 	address, ok := n.callsAddress(chosen.ID)
 	if !ok {
@@ -207,10 +208,20 @@
 	t.attempts = append(t.attempts, l)
 	t.excluded = t.excluded.With(chosen.ID)
 	t.launched++
+	t.out.attempts++
 	t.pending++
 	return call.ReasonNone
 }
 
+// noChoice passes the level by which backend servers refuse the priority on to where the request entered, as if one of
+// them had been asked.
+func (t *try) noChoice(none balance.None) call.Reason {
+	if none.Reason == call.ReasonShed {
+		t.out.level = call.MoreImportant(t.out.level, none.Level)
+	}
+	return none.Reason
+}
+
 func (n *Node) callsAddress(id string) (string, bool) {
 	if id == n.self.ID {
 		return n.self.Calls, true
