Name the requests that ran although they were refused as not run

Cause: one demo run on a saturated computer (load 96 on 10 cores, no idle time) reported that 3 of 855 requests refused as "not run" had run, without naming them. Change: the check names kind, request, reason of the refusal and the paths on which it ran. Conclusion: the three requests are not explained yet; the next such run names them.

--- a/cmd/demo/check.go
+++ b/cmd/demo/check.go
@@ -146,25 +146,27 @@
 
 // checkNotRun checks that no request ran, in any service, of which every send was refused as "not run".
 func (d *demo) checkNotRun(ran map[string][]standin.Ran, results ...*standin.Results) {
-	started := map[string]bool{}
+	started := map[string][]string{}
 	for _, all := range ran {
 		for _, r := range all {
 			for key := range r.Requests {
-				_, id, _ := strings.Cut(key, " ")
-				started[id] = true
+				path, id, _ := strings.Cut(key, " ")
+				started[id] = append(started[id], path)
 			}
 		}
 	}
-	refused, wrong := 0, 0
+	refused := 0
+	var wrong []string
 	for _, r := range results {
-		for _, id := range r.NotRun() {
+		for _, res := range r.NotRun() {
 			refused++
-			if started[id] {
-				wrong++
+			if paths := started[res.Request]; len(paths) > 0 {
+				wrong = append(wrong, fmt.Sprintf("%s %s refused as %s ran as %v", res.Kind, res.Request, res.Reason, paths))
 			}
 		}
 	}
-	d.check(wrong == 0, `nothing refused as "not run" ran`, fmt.Sprintf("%d of %d refused", wrong, refused))
+	d.check(len(wrong) == 0, `nothing refused as "not run" ran`,
+		fmt.Sprintf("%d of %d refused %s", len(wrong), refused, strings.Join(wrong, "; ")))
 }
 
 func (d *demo) checkEnded(e testbed.Ended) {
--- a/standin/result.go
+++ b/standin/result.go
@@ -1,12 +1,11 @@
 package standin
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"lovagelane/kernel"
 )
 
 const (
@@ -96,13 +95,13 @@
 	mu    sync.Mutex
 	kinds map[string]*KindResults
 	order []string
-	// notRun holds the requests of which every send was refused as "not run".
-	notRun kernel.Set[string]
+	// notRun holds the results of requests of which every send was refused as "not run".
+	notRun []Result
 }
 
 // NewResults returns results for these kinds, in this order.
 func NewResults(kinds []string) *Results {
-	r := &Results{kinds: map[string]*KindResults{}, notRun: kernel.Set[string]{}}
+	r := &Results{kinds: map[string]*KindResults{}}
 	for _, k := range kinds {
 		if r.kinds[k] != nil {
 			continue
@@ -126,7 +125,7 @@
 		k.Reasons[res.Reason]++
 	}
 	if res.NotRun {
-		r.notRun[res.Request] = struct{}{}
+		r.notRun = append(r.notRun, res)
 	}
 	switch res.End {
 	case Answered:
@@ -192,15 +191,11 @@
 	return r.kinds[name]
 }
 
-// NotRun returns the requests of which every send was refused as "not run".
-func (r *Results) NotRun() []string {
+// NotRun returns the results of requests of which every send was refused as "not run".
+func (r *Results) NotRun() []Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var ids []string
-	for id := range r.notRun {
-		ids = append(ids, id)
-	}
-	return ids
+	return slices.Clone(r.notRun)
 }
 
 // Goodput returns the answered requests a second of all kinds between two times after the start.
