Take the regions in the rings from the held configuration

Cause: a node announces its region only once it has a configuration. Nodes that took their first configuration in the same moment had each other's announcements without a region, put them into another ring and closed the connections to them. Ten nodes that started together formed two groups, each complete in itself. No digest and no flooded update passed between them, and seeds did not help because their addresses were known, so that only the listing of the store a minute later joined them again.

Change: the rings, the peers of the own region and the right to suspect use the region that the held configuration gives the availability zone of a member. The announced region counts only where the configuration has none.

Conclusion: a deployment or a zone that starts at once does not need the store to become whole.

--- a/control/control.go
+++ b/control/control.go
@@ -67,6 +67,8 @@
 	view   *membership.View
 	rings  membership.Rings
 	roster uint64
+	// placedBy is the version of the configuration that the rings take the regions from.
+	placedBy uint64
 	// list is the answer of others as of the change listed.
 	list     []membership.Member
 	listed   uint64
--- a/control/watch.go
+++ b/control/watch.go
@@ -72,12 +72,32 @@
 	return ""
 }
 
+// regionOf returns the region that the held configuration gives the member's availability zone, or the announced one. An
+// announcement from before its sender had a configuration has no region; if the rings relied on it, nodes that take their
+// first configuration at the same time could form groups that leave each other out and never hear the later announcement.
+func (c *Control) regionOf(m membership.Member) string {
+	if c.held.config != nil {
+		if name, ok := c.held.config.Region(m.AvailabilityZone); ok {
+			return name
+		}
+	}
+	return m.Region
+}
+
+// placed gives the members the regions of the held configuration.
+func (c *Control) placed(members []membership.Member) []membership.Member {
+	for i := range members {
+		members[i].Region = c.regionOf(members[i])
+	}
+	return members
+}
+
 // regionPeers returns the ids of the other members of the own region, or of all others while the region is unknown.
 func (c *Control) regionPeers() []string {
 	self := c.view.Self()
 	var ids []string
 	for _, m := range c.others() {
-		if self.Region == "" || m.Region == self.Region {
+		if self.Region == "" || c.regionOf(m) == self.Region {
 			ids = append(ids, m.ID)
 		}
 	}
@@ -91,9 +111,9 @@
 		// Stop still needs the connections to announce it.
 		return
 	}
-	if c.view.Roster() != c.roster {
-		c.roster = c.view.Roster()
-		c.rings = membership.NewRings(c.view.Live())
+	if c.view.Roster() != c.roster || c.held.version != c.placedBy {
+		c.roster, c.placedBy = c.view.Roster(), c.held.version
+		c.rings = membership.NewRings(c.placed(c.view.Live()))
 		c.adopter.Forget(c.view.IsLive)
 	}
 	wanted := map[string]membership.Member{}
@@ -201,7 +221,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current, _ := c.view.Get(m.ID)
-	if !w.ring || current.Region != c.view.Self().Region || !c.view.Suspect(c.now(), m.ID) {
+	if !w.ring || c.regionOf(current) != c.view.Self().Region || !c.view.Suspect(c.now(), m.ID) {
 		return
 	}
 	c.pending[m.ID] = nil
