Measure the control cost of a node and its slopes

Cause: bench control read its metrics from the wrong level of the JSON and failed, it knew two sizes, and only the idle state.

Processor times come from the scheduler's statistics, in nanoseconds. Each measure gets a least-squares line with its value at 590 nodes. The part calls fits the processor time of a call over the rate.

--- a/cmd/bench/bench.go
+++ b/cmd/bench/bench.go
@@ -20,7 +20,9 @@
 type bench struct {
 	bin  string
 	seed uint64
-	rows []row
+	// sizes are the numbers of nodes that control is measured with.
+	sizes []int
+	rows  []row
 }
 
 // variant is the product or a baseline: settings of the nodes.
--- /dev/null
+++ b/cmd/bench/calls.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"lovagelane/kernel"
+	"lovagelane/standin"
+	"lovagelane/testbed"
+)
+
+const (
+	callsSettle = 3 * time.Second
+	callsWindow = 10 * time.Second
+	// targetCalls is what a node serves at the target size, in calls a second; it makes as many.
+	targetCalls = 100
+)
+
+// runCalls offers steady rates to a node of another service and fits the processor time of the calling and of the serving
+// node over the rate. The calling node also takes the request of the outside caller, which a node between two services
+// takes from its backend server.
+func runCalls(ctx context.Context, b *bench) error {
+	services := []testbed.Service{
+		{Name: "front", Zones: []string{"rn-1"}, Slots: 64, Connections: 400, Timeout: time.Second},
+		{Name: "echo", Zones: []string{"rn-1"}, Slots: 64, Connections: 400, Timeout: time.Second,
+			Backend: []string{"--service-time=2ms", "--fixed"}},
+	}
+	rates := []float64{0, 50, 100, 200, 400}
+	return b.deploy(ctx, product, services, plainRules, func(ctx context.Context, bed *testbed.Bed) error {
+		places := []*testbed.Place{bed.Of("front")[0], bed.Of("echo")[0]}
+		used := [2][]float64{}
+		fmt.Println("| calls a second | calling node, ms a second | memory MB | serving node, ms a second | memory MB |")
+		fmt.Println("|---|---|---|---|---|")
+		for _, rate := range rates {
+			var cpu, memory [2]float64
+			if err := b.callsAt(ctx, places, rate, &cpu, &memory); err != nil {
+				return err
+			}
+			fmt.Printf("| %.0f | %.2f | %.1f | %.2f | %.1f |\n", rate, cpu[0], memory[0], cpu[1], memory[1])
+			for i := range used {
+				used[i] = append(used[i], cpu[i])
+			}
+		}
+		fmt.Println()
+		calling, idle := leastSquares(rates, used[0])
+		serving, _ := leastSquares(rates, used[1])
+		b.add("processor time of a call, calling node", "%.3f ms", calling, "-", -1, "", true)
+		b.add("processor time of a call, serving node", "%.3f ms", serving, "-", -1, "", true)
+		b.add("processor of a node at the target rate, both roles", "%.1f%% of a core", (calling+serving)*targetCalls/10, "-", -1,
+			"", true)
+		b.add("processor of the calling node without calls", "%.2f%% of a core", idle/10, "-", -1, "", true)
+		return nil
+	})
+}
+
+// callsAt offers a rate and returns the processor time that each node used a second, in milliseconds, and its memory.
+func (b *bench) callsAt(ctx context.Context, places []*testbed.Place, rate float64, cpu, memory *[2]float64) error {
+	load := make(chan error, 1)
+	if rate == 0 {
+		load <- nil
+	} else {
+		bedLoad := func(ctx context.Context) error {
+			kinds := []standin.Kind{{Name: "call", Method: "GET", Path: "/echo/page", Weight: 1}}
+			_, r, err := b.load(ctx, addressesOf(places[:1]), kinds, standin.Constant(rate),
+				span{0, callsSettle + callsWindow + callsSettle/2})
+			if err == nil && r.Kind("call").Share() < 1 {
+				note(fmt.Sprintf("%.0f a second", rate), r)
+			}
+			return err
+		}
+		g := kernel.NewGroup(ctx)
+		g.Go("load", func(ctx context.Context) error { load <- bedLoad(ctx); return nil })
+	}
+	if err := pause(ctx, callsSettle); err != nil {
+		return err
+	}
+	var before [2]time.Duration
+	for i, p := range places {
+		var err error
+		if before[i], _, err = processUsage(p.Node.PID()); err != nil {
+			return err
+		}
+	}
+	start := time.Now()
+	if err := pause(ctx, callsWindow); err != nil {
+		return err
+	}
+	for i, p := range places {
+		after, resident, err := processUsage(p.Node.PID())
+		if err != nil {
+			return err
+		}
+		cpu[i] = (after - before[i]).Seconds() * 1000 / time.Since(start).Seconds()
+		memory[i] = resident
+	}
+	return <-load
+}
--- a/cmd/bench/control.go
+++ b/cmd/bench/control.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"os"
-	"strconv"
+	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,99 +16,523 @@
 )
 
 const (
-	controlTime = 20 * time.Second
-	// ticksPerSecond is the unit of processor times in /proc, which Linux fixes for programs.
-	ticksPerSecond  = 100
+	targetNodes     = 590
 	controlCPU      = 1.6
 	controlMemoryMB = 128
 	controlTraffic  = 28.0
+
+	// controlSettle lets the connections of the joining nodes end and the memory of the start be given back.
+	controlSettle = 8 * time.Second
+	controlWindow = 10 * time.Second
+	// suspicionPause is long enough for a suspicion, after 3 s of silence and a dial of 2 s, and too short for a removal.
+	suspicionPause = 7 * time.Second
+	controlReady   = 90 * time.Second
+	// zoneSize is the size from which the loss of an availability zone is measured, since smaller zones say little.
+	zoneSize = 40
 )
 
-// runControl measures idle nodes at two sizes; docs/CAPACITY.md derives the target size from the difference.
+var controlZones = []string{"rn-1", "rn-2", "rn-3", "ce-1", "ce-2"}
+
+// controlRow is what one event or the idle state costs at one size. All values are for each node; those of events come on
+// top of the idle state.
+type controlRow struct {
+	event                                      string
+	nodes                                      int
+	cpuMS, sent, received, reads, writes, took float64
+	memoryMB                                   float64
+}
+
+// controlRun measures one deployment.
+type controlRun struct {
+	bed     *testbed.Bed
+	nodes   []*testbed.Place
+	extra   *testbed.Place
+	text    func(version int) (inventory, rules string)
+	idle    usage
+	version int
+	rows    []controlRow
+}
+
+// runControl measures the idle cost of a node and that of single events at each size, and fits a line through the sizes.
+// docs/CAPACITY.md derives the target size from it.
 func runControl(ctx context.Context, b *bench) error {
-	for _, size := range []int{6, 18} {
-		services := []testbed.Service{{Name: "maps", Slots: 4, Connections: 100, Timeout: time.Second}}
-		for i := range size {
-			services[0].Zones = append(services[0].Zones, []string{"rn-1", "rn-2"}[i%2])
-		}
-		err := b.deploy(ctx, product, services, plainRules, func(ctx context.Context, bed *testbed.Bed) error {
-			return b.controlCost(ctx, bed, size)
-		})
+	var rows []controlRow
+	for _, size := range b.sizes {
+		r, err := b.controlAt(ctx, size)
+		rows = append(rows, r...)
 		if err != nil {
-			return err
+			printControl(rows)
+			return fmt.Errorf("%d nodes: %w", size, err)
 		}
 	}
+	printControl(rows)
+	for _, r := range rows {
+		if r.event != "idle" {
+			continue
+		}
+		cpu := 100 * r.cpuMS / 1000
+		traffic := (r.sent + r.received) / 1000
+		at := fmt.Sprintf(" of a node among %d, idle", r.nodes)
+		b.add("processor"+at, "%.2f%% of a core", cpu, "-", -1, "at most 1.6%", cpu <= controlCPU)
+		b.add("memory"+at, "%.1f MB", r.memoryMB, "-", -1, "at most 128 MB", r.memoryMB <= controlMemoryMB)
+		b.add("control traffic"+at, "%.2f KB/s", traffic, "-", -1, "at most 28 KB/s", traffic <= controlTraffic)
+	}
 	return nil
 }
 
-// cost is the sum over the nodes.
-type cost struct{ cpu, memory, traffic float64 }
+// controlServices are four services over the five availability zones, each with one backend server for all its nodes.
+func controlServices(size int) []testbed.Service {
+	var services []testbed.Service
+	for _, name := range []string{"maps", "nursery", "imagery", "payments"} {
+		services = append(services, testbed.Service{Name: name, Slots: 16, Connections: 2000, Timeout: time.Second})
+	}
+	for i := range size {
+		s := &services[i%len(services)]
+		s.Zones = append(s.Zones, controlZones[i/len(services)%len(controlZones)])
+	}
+	return slices.DeleteFunc(services, func(s testbed.Service) bool { return len(s.Zones) == 0 })
+}
+
+func (b *bench) controlAt(ctx context.Context, size int) (rows []controlRow, err error) {
+	bed, err := testbed.New(ctx, testbed.Options{Bin: b.bin, SharedBackends: true})
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		bed.Stop()
+		if err == nil {
+			_ = bed.Remove()
+		} else {
+			err = fmt.Errorf("%w (logs are in %s)", err, bed.Dir())
+		}
+	}()
+	services := controlServices(size)
+	extra := testbed.Service{Name: "extra", Zones: controlZones[:1], Slots: 16, Connections: 2000, Timeout: time.Second}
+	inventory := testbed.Inventory(append(slices.Clone(services), extra))
+	r := &controlRun{bed: bed, text: func(version int) (string, string) {
+		return inventory, fmt.Sprintf("[class ordinary]\nrank = %d\ndefault = yes\n", 1+version%7)
+	}}
+	started := time.Now()
+	if err := bed.Add(services...); err != nil {
+		return nil, err
+	}
+	r.nodes = slices.Clone(bed.Places)
+	ready, cancel := context.WithTimeout(ctx, controlReady)
+	defer cancel()
+	if err := bed.Up(ready); err != nil {
+		return nil, err
+	}
+	if err := r.apply(ready); err != nil {
+		return nil, err
+	}
+	if err := bed.Ready(ready, 1); err != nil {
+		return nil, err
+	}
+	fmt.Printf("- %d nodes: ready %.1f s after the start of the first; load average %s\n", size,
+		time.Since(started).Seconds(), loadAverage())
+	err = r.measure(ctx, extra)
+	return r.rows, err
+}
 
-func (b *bench) controlCost(ctx context.Context, bed *testbed.Bed, size int) error {
-	first, err := costOf(ctx, bed)
+func (r *controlRun) measure(ctx context.Context, extra testbed.Service) error {
+	if err := pause(ctx, controlSettle); err != nil {
+		return err
+	}
+	before, err := r.usage(ctx)
 	if err != nil {
 		return err
 	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(controlTime):
+	if err := pause(ctx, controlWindow); err != nil {
+		return err
 	}
-	last, err := costOf(ctx, bed)
+	after, err := r.usage(ctx)
+	if err != nil {
+		return err
+	}
+	r.idle = after.minus(before)
+	r.idle.memory = after.memory
+	r.add("idle", r.idle, 1/controlWindow.Seconds(), 0)
+	steps := []struct {
+		name   string
+		window time.Duration
+		run    func(ctx context.Context) (float64, error)
+	}{
+		{"configuration change", controlWindow, r.change},
+		{"join", controlWindow, func(ctx context.Context) (float64, error) { return r.join(ctx, extra) }},
+		{"leave", controlWindow, r.leave},
+		{"suspicion, refuted", controlWindow, r.suspicion},
+		{"death", controlWindow * 3 / 2, r.death},
+	}
+	for _, s := range steps {
+		if err := r.event(ctx, s.name, s.window, s.run); err != nil {
+			return fmt.Errorf("%s: %w", s.name, err)
+		}
+	}
+	if len(r.nodes) < zoneSize {
+		return nil
+	}
+	return r.zone(ctx)
+}
+
+// event adds what a node spends during the window in which the event happens, beyond the idle state.
+func (r *controlRun) event(ctx context.Context, name string, window time.Duration,
+	run func(ctx context.Context) (float64, error)) error {
+	before, err := r.usage(ctx)
 	if err != nil {
 		return err
 	}
-	n := float64(size)
-	cpu := 100 * (last.cpu - first.cpu) / controlTime.Seconds() / n
-	memory, traffic := last.memory/n, (last.traffic-first.traffic)/controlTime.Seconds()/n
-	at := fmt.Sprintf(" of a node among %d, idle", size)
-	b.add("processor"+at, "%.2f%% of a core", cpu, "-", -1, "at most 1.6%", cpu <= controlCPU)
-	b.add("memory"+at, "%.1f MB", memory, "-", -1, "at most 128 MB", memory <= controlMemoryMB)
-	b.add("control traffic"+at, "%.2f KB/s", traffic, "-", -1, "at most 28 KB/s", traffic <= controlTraffic)
+	start := time.Now()
+	took, err := run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := pause(ctx, max(0, window-time.Since(start))); err != nil {
+		return err
+	}
+	after, err := r.usage(ctx)
+	if err != nil {
+		return err
+	}
+	r.add(name, after.minus(before).less(r.idle), 1, took)
 	return nil
 }
 
-func costOf(ctx context.Context, bed *testbed.Bed) (cost, error) {
-	var sum cost
-	for _, p := range bed.Places {
-		cpu, memory, err := processCost(p.Node.PID())
+func (r *controlRun) add(event string, u usage, scale, took float64) {
+	n := float64(len(r.nodes))
+	r.rows = append(r.rows, controlRow{event: event, nodes: len(r.nodes), cpuMS: u.cpu.Seconds() * 1000 * scale / n,
+		sent: u.sent * scale / n, received: u.received * scale / n, reads: u.reads * scale / n, writes: u.writes * scale / n,
+		took: took, memoryMB: u.memory / n})
+}
+
+func (r *controlRun) apply(ctx context.Context) error {
+	r.version++
+	inventory, rules := r.text(r.version)
+	_, err := r.bed.Apply(ctx, inventory, rules)
+	return err
+}
+
+// change returns the time from the start of the apply command until the last node logged the version as in force.
+func (r *controlRun) change(ctx context.Context) (float64, error) {
+	start := time.Now()
+	if err := r.apply(ctx); err != nil {
+		return 0, err
+	}
+	var last time.Time
+	for _, p := range r.nodes {
+		at, err := inForceAt(filepath.Join(r.bed.Dir(), p.Node.Name+".log"), r.version)
 		if err != nil {
-			return cost{}, err
+			return 0, err
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last.Sub(start).Seconds(), nil
+}
+
+var inForceLine = regexp.MustCompile(`time=(\S+) .*event=config-in-force version=(\d+)`)
+
+func inForceAt(log string, version int) (time.Time, error) {
+	f, err := os.Open(log)
+	if err != nil {
+		return time.Time{}, err
+	}
+	defer f.Close()
+	s := bufio.NewScanner(f)
+	for s.Scan() {
+		m := inForceLine.FindStringSubmatch(s.Text())
+		if m != nil && m[2] == fmt.Sprint(version) {
+			return time.Parse(time.RFC3339Nano, m[1])
+		}
+	}
+	return time.Time{}, errors.Join(s.Err(), fmt.Errorf("%s does not say when version %d took force", log, version))
+}
+
+// join starts a further node and does not poll, since polls would count as processor time.
+func (r *controlRun) join(_ context.Context, extra testbed.Service) (float64, error) {
+	if err := r.bed.Add(extra); err != nil {
+		return 0, err
+	}
+	r.extra = r.bed.Places[len(r.bed.Places)-1]
+	return 0, nil
+}
+
+func (r *controlRun) leave(context.Context) (float64, error) { return 0, r.extra.Node.Terminate() }
+
+// suspicion freezes a node that the ring watches until it is suspected and lets it refute that.
+func (r *controlRun) suspicion(ctx context.Context) (float64, error) {
+	p := r.nodes[0].Node
+	if err := p.Freeze(); err != nil {
+		return 0, err
+	}
+	return 0, errors.Join(pause(ctx, suspicionPause), p.Resume())
+}
+
+// death starts the further node again, waits until all know it, and kills it. It returns the time until all removed it.
+func (r *controlRun) death(ctx context.Context) (float64, error) {
+	start := time.Now()
+	if err := r.extra.Node.Start(); err != nil {
+		return 0, err
+	}
+	if err := r.allSee(ctx, r.nodes, len(r.nodes)+1); err != nil {
+		return 0, err
+	}
+	fmt.Printf("- %d nodes: a node that starts is known to all after %.1f s\n", len(r.nodes), time.Since(start).Seconds())
+	if err := pause(ctx, time.Second); err != nil {
+		return 0, err
+	}
+	start = time.Now()
+	if err := r.extra.Node.Kill(); err != nil {
+		return 0, err
+	}
+	err := r.allSee(ctx, r.nodes, len(r.nodes))
+	return time.Since(start).Seconds(), err
+}
+
+// zone kills all nodes of an availability zone at once and starts them again at once.
+func (r *controlRun) zone(ctx context.Context) error {
+	all := r.nodes
+	var lost []*testbed.Place
+	r.nodes = nil
+	for _, p := range all {
+		if p.Zone == controlZones[1] {
+			lost = append(lost, p)
+		} else {
+			r.nodes = append(r.nodes, p)
+		}
+	}
+	// The idle cost was measured for all nodes; the part of those that stay is their share of it.
+	r.idle = r.idle.scaled(float64(len(r.nodes)) / float64(len(all)))
+	err := r.event(ctx, "zone lost", controlWindow, func(ctx context.Context) (float64, error) {
+		start := time.Now()
+		for _, p := range lost {
+			if err := p.Node.Kill(); err != nil {
+				return 0, err
+			}
+		}
+		err := r.allSee(ctx, r.nodes, len(r.nodes))
+		return time.Since(start).Seconds(), err
+	})
+	if err != nil {
+		return err
+	}
+	counts, err := r.bed.PlatformCounts(ctx)
+	if err != nil {
+		return err
+	}
+	err = r.event(ctx, "zone back", controlWindow, func(ctx context.Context) (float64, error) {
+		start := time.Now()
+		for _, p := range lost {
+			if err := p.Node.Start(); err != nil {
+				return 0, err
+			}
+		}
+		err := r.allSee(ctx, all, len(all))
+		return time.Since(start).Seconds(), err
+	})
+	if err != nil {
+		return err
+	}
+	after, err := r.bed.PlatformCounts(ctx)
+	fmt.Printf("- %d nodes, %d of them start at once: the store saw %d reads and %d writes until all were known\n", len(all),
+		len(lost), after.Reads-counts.Reads, after.Writes-counts.Writes)
+	return err
+}
+
+// allSee waits until the views of all these nodes hold this many members, their own included.
+func (r *controlRun) allSee(ctx context.Context, nodes []*testbed.Place, members int) error {
+	ctx, cancel := context.WithTimeout(ctx, controlReady)
+	defer cancel()
+	for _, p := range nodes {
+		err := testbed.Until(ctx, "view of "+p.Node.Name, func(ctx context.Context) error {
+			n, err := metric(ctx, p, "gauges", "members")
+			if err == nil && int(n) != members-1 {
+				err = fmt.Errorf("%v other members instead of %d", n, members-1)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func metric(ctx context.Context, p *testbed.Place, kind, name string) (float64, error) {
+	m, err := p.Metrics(ctx)
+	if err != nil {
+		return 0, err
+	}
+	values, _ := m[kind].(map[string]any)
+	v, ok := values[name].(float64)
+	if !ok {
+		return 0, fmt.Errorf("the node has no metric %s in %s", name, kind)
+	}
+	return v, nil
+}
+
+// usage is the sum over the nodes of what they have spent since their start, and what the store has seen.
+type usage struct {
+	cpu                                   time.Duration
+	memory, sent, received, reads, writes float64
+	at                                    time.Time
+	span                                  time.Duration
+}
+
+func (u usage) minus(old usage) usage {
+	return usage{cpu: u.cpu - old.cpu, memory: u.memory - old.memory, sent: u.sent - old.sent,
+		received: u.received - old.received, reads: u.reads - old.reads, writes: u.writes - old.writes, span: u.at.Sub(old.at)}
+}
+
+func (u usage) scaled(f float64) usage {
+	return usage{cpu: time.Duration(float64(u.cpu) * f), memory: u.memory * f, sent: u.sent * f, received: u.received * f,
+		reads: u.reads * f, writes: u.writes * f, span: u.span}
+}
+
+// less takes off what idle nodes spend in the same time.
+func (u usage) less(idle usage) usage {
+	f := float64(u.span) / float64(idle.span)
+	part := idle.scaled(f)
+	part.memory, part.at = 0, time.Time{}
+	left := u.minus(part)
+	left.span = u.span
+	return left
+}
+
+func (r *controlRun) usage(ctx context.Context) (usage, error) {
+	u := usage{at: time.Now()}
+	counts, err := r.bed.PlatformCounts(ctx)
+	if err != nil {
+		return u, err
+	}
+	u.reads, u.writes = float64(counts.Reads), float64(counts.Writes)
+	for _, p := range r.nodes {
+		cpu, memory, err := processUsage(p.Node.PID())
+		if err != nil {
+			return u, err
 		}
 		m, err := p.Metrics(ctx)
 		if err != nil {
-			return cost{}, err
-		}
-		sum.cpu += cpu
-		sum.memory += memory
-		for _, name := range []string{"control-bytes-sent", "control-bytes-received"} {
-			v, ok := m[name].(float64)
-			if !ok {
-				return cost{}, fmt.Errorf("the node has no metric %s", name)
-			}
-			sum.traffic += v / 1000
+			return u, err
 		}
+		counters, _ := m["counters"].(map[string]any)
+		sent, ok1 := counters["control-bytes-sent"].(float64)
+		received, ok2 := counters["control-bytes-received"].(float64)
+		if !ok1 || !ok2 {
+			return u, fmt.Errorf("%s has no count of control bytes", p.Node.Name)
+		}
+		u.cpu += cpu
+		u.memory += memory
+		u.sent += sent
+		u.received += received
 	}
-	return sum, nil
+	return u, nil
 }
 
-// processCost returns the processor time in seconds and the resident memory in MB.
-func processCost(pid int) (cpu, memory float64, err error) {
-	b, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+// processUsage returns the processor time of all threads, in the scheduler's precision, and the resident memory in MB.
+func processUsage(pid int) (cpu time.Duration, memory float64, err error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil || len(files) == 0 {
+		return 0, 0, fmt.Errorf("process %d has no scheduler statistics: %w", pid, err)
+	}
+	for _, name := range files {
+		b, err := os.ReadFile(name)
+		if err != nil {
+			return 0, 0, err
+		}
+		var ran, waited, slices int64
+		if _, err := fmt.Sscan(string(b), &ran, &waited, &slices); err != nil {
+			return 0, 0, err
+		}
+		cpu += time.Duration(ran)
+	}
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
 		return 0, 0, err
 	}
-	// The name in parentheses may hold spaces; the fields count from the one after it, which is field 3.
-	_, rest, _ := strings.Cut(string(b), ") ")
-	fields := strings.Fields(rest)
-	if len(fields) < 22 {
-		return 0, 0, fmt.Errorf("unexpected /proc/%d/stat", pid)
+	var size, resident int64
+	if _, err := fmt.Sscan(string(b), &size, &resident); err != nil {
+		return 0, 0, err
+	}
+	return cpu, float64(resident) * float64(os.Getpagesize()) / 1e6, nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func loadAverage() string {
+	b, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.Join(strings.Fields(string(b))[:3], " ")
+}
+
+// printControl prints the rows and, for each event, the line through the sizes with its value at the target size.
+func printControl(rows []controlRow) {
+	fmt.Println("\nFor each node; idle is for each second, events are the whole event beyond idle.")
+	fmt.Println()
+	fmt.Println("| event | nodes | processor ms | memory MB | bytes sent | bytes received | store reads | store writes | took s |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+	var events []string
+	for _, r := range rows {
+		fmt.Printf("| %s | %d | %.2f | %.1f | %.0f | %.0f | %.3f | %.3f | %.1f |\n", r.event, r.nodes, r.cpuMS, r.memoryMB, r.sent,
+			r.received, r.reads, r.writes, r.took)
+		if !slices.Contains(events, r.event) {
+			events = append(events, r.event)
+		}
+	}
+	fmt.Println("\nLeast squares over the number of nodes:")
+	fmt.Println()
+	fmt.Println("| event | measure | for each further node | at 0 nodes | at 590 nodes |")
+	fmt.Println("|---|---|---|---|---|")
+	measures := []struct {
+		name  string
+		value func(controlRow) float64
+	}{
+		{"processor ms", func(r controlRow) float64 { return r.cpuMS }},
+		{"memory MB", func(r controlRow) float64 { return r.memoryMB }},
+		{"bytes sent", func(r controlRow) float64 { return r.sent }},
+		{"bytes received", func(r controlRow) float64 { return r.received }},
+		{"store reads", func(r controlRow) float64 { return r.reads }},
+		{"store writes", func(r controlRow) float64 { return r.writes }},
+		{"took s", func(r controlRow) float64 { return r.took }},
+	}
+	for _, event := range events {
+		for _, m := range measures {
+			var xs, ys []float64
+			for _, r := range rows {
+				if r.event == event {
+					xs, ys = append(xs, float64(r.nodes)), append(ys, m.value(r))
+				}
+			}
+			if len(xs) > 1 {
+				slope, at0 := leastSquares(xs, ys)
+				fmt.Printf("| %s | %s | %.5f | %.3f | %.3f |\n", event, m.name, slope, at0, at0+slope*targetNodes)
+			}
+		}
+	}
+	fmt.Println()
+}
+
+// leastSquares returns the slope of the line through the points and its value at 0.
+func leastSquares(xs, ys []float64) (slope, at0 float64) {
+	n := float64(len(xs))
+	var sx, sy, sxx, sxy float64
+	for i, x := range xs {
+		sx += x
+		sy += ys[i]
+		sxx += x * x
+		sxy += x * ys[i]
 	}
-	user, err1 := strconv.ParseFloat(fields[11], 64)
-	system, err2 := strconv.ParseFloat(fields[12], 64)
-	pages, err3 := strconv.ParseFloat(fields[21], 64)
-	if err1 != nil || err2 != nil || err3 != nil {
-		return 0, 0, fmt.Errorf("unexpected /proc/%d/stat", pid)
+	if d := n*sxx - sx*sx; d != 0 {
+		slope = (n*sxy - sx*sy) / d
 	}
-	return (user + system) / ticksPerSecond, pages * float64(os.Getpagesize()) / 1e6, nil
+	return slope, (sy - slope*sx) / n
 }
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -32,6 +32,7 @@
 	{"stragglers", "short calls among stragglers", runStragglers},
 	{"slowed", "tail latency with one backend server in six slowed", runSlowed},
 	{"control", "control cost of a node", runControl},
+	{"calls", "processor time of a call on the calling and the serving node", runCalls},
 }
 
 func main() {
@@ -42,12 +43,13 @@
 	app := kingpin.New("bench", "Measures the targets of the design against baselines.")
 	chosen := app.Arg("part", "Parts to run: "+strings.Join(names, ", ")+". Default: all.").Enums(names...)
 	seed := app.Flag("seed", "Seed of the load.").Default(fmt.Sprint(defaultSeed)).Uint64()
+	sizes := app.Flag("size", "Numbers of nodes that control is measured with.").Default("10", "20").Ints()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	bin, err := os.Executable()
 	app.FatalIfError(err, "find the programs")
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	b := &bench{bin: filepath.Dir(bin), seed: *seed}
+	b := &bench{bin: filepath.Dir(bin), seed: *seed, sizes: *sizes}
 	fmt.Printf("seed %d\n\n", *seed)
 	failed := false
 	for _, p := range parts {
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -29,6 +29,9 @@
 	NodeSettings []string
 	// NoNodes starts backend servers alone, to measure calls without the product.
 	NoNodes bool
+	// SharedBackends puts all nodes of a service beside one backend server, which saves half of the processes when only
+	// the nodes matter.
+	SharedBackends bool
 }
 
 // Bed is a deployment of real processes.
@@ -125,12 +128,20 @@
 	p := &Place{Service: s.Name, Zone: zone, BackendAddress: a[0], Callers: a[1], Listen: a[2], Calls: a[3], Control: a[4],
 		Admin: a[5]}
 	name := fmt.Sprintf("%s-%d", s.Name, i)
+	if first := b.Of(s.Name); b.opt.SharedBackends && len(first) > 0 {
+		p.Backend, p.BackendAddress = first[0].Backend, first[0].BackendAddress
+		return b.addNode(name, p)
+	}
 	args := append([]string{"backend-server", "--listen", p.BackendAddress, "--service", s.Name, "--node", p.Listen,
 		"--slots", fmt.Sprint(s.Slots), "--connections", fmt.Sprint(s.Connections),
 		"--seed", fmt.Sprint(len(b.Places) + 1)}, s.Backend...)
 	if p.Backend, err = b.start(name+"-backend", "standin", args...); err != nil {
 		return err
 	}
+	return b.addNode(name, p)
+}
+
+func (b *Bed) addNode(name string, p *Place) (err error) {
 	if !b.opt.NoNodes {
 		if p.Node, err = b.startNode(name+"-node", p); err != nil {
 			return err
@@ -301,6 +312,13 @@
 	return exchange(ctx, "POST", b.Store+"/standin/faults", f, nil)
 }
 
+// PlatformCounts returns the reads and writes that the platform has carried out.
+func (b *Bed) PlatformCounts(ctx context.Context) (standin.PlatformCounts, error) {
+	var c standin.PlatformCounts
+	err := exchange(ctx, "GET", b.Store+"/standin/counts", nil, &c)
+	return c, err
+}
+
 // Metrics returns the metrics of the place's node as they are served.
 func (p *Place) Metrics(ctx context.Context) (map[string]any, error) {
 	var m map[string]any
