Benchmark the size of state, frames and periodic work

Cause: docs/CAPACITY.md needs the heap of each entry of state and the cost of membership at 590 members from runs in the packages that own them.

--- /dev/null
+++ b/control/size_test.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagelane/kernel"
+	"lovagelane/membership"
+	"lovagelane/platform"
+	"lovagelane/quarantine"
+	"lovagelane/rollout"
+	"lovagelane/standin"
+)
+
+func typicalMember(i int) membership.Member {
+	return membership.Member{ID: fmt.Sprintf("%032x", i*7919+1<<40), Counter: 3, Service: "nursery-orders", Region: "rn",
+		AvailabilityZone: "rn-1", Calls: "10.20.30.40:7100", Control: "10.20.30.40:7300", Callers: "10.20.30.40:8080", Slots: 70,
+		State: membership.StateServing, Started: 1796378912754}
+}
+
+// BenchmarkFrameBytes reports the size of each kind of frame; a packet adds about 50 bytes of QUIC, UDP and IP.
+func BenchmarkFrameBytes(b *testing.B) {
+	members := make([]membership.Member, membersPerFrame)
+	for i := range members {
+		members[i] = typicalMember(i)
+	}
+	view := membership.NewView(time.Unix(1, 0), members[0])
+	for i := range 590 {
+		m := typicalMember(i)
+		m.Control = fmt.Sprint(m.Control, i)
+		view.Merge(time.Unix(1, 0), m)
+	}
+	frames := []struct {
+		name string
+		f    Frame
+	}{
+		{"hello", hello{Member: members[0], Held: 1000}},
+		{"heartbeat", heartbeat{Held: 1000}},
+		{"announce-1", announce{Members: members[:1]}},
+		{"announce-64", announce{Members: members}},
+		{"suspect-1", suspect{Marks: []membership.Mark{{ID: members[0].ID, Counter: 3}}}},
+		{"digest", digestFrame(view.Digest())},
+		{"diff-equal", diff{Last: true}},
+		{"diff-one-part-of-590", diff{Parts: []int{17}, Members: members[:10], Last: true}},
+		{"notice", notice{Version: 1000, Hash: fmt.Sprintf("%064x", 1)}},
+		{"crash-1", crash{Reports: []quarantine.Report{{Digest: 1 << 60, Crash: members[0].ID + "-1"}}}},
+	}
+	for _, f := range frames {
+		b.Run(f.name, func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				data, err := encodeFrame(f.f)
+				require.NoError(b, err)
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "B/frame")
+		})
+	}
+}
+
+// BenchmarkStoreRequests measures the processor time of the polls, listings and renewals of one node. They run 50 times
+// as often as in operation, and the reported share is divided by that. The store runs in this process and is included.
+func BenchmarkStoreRequests(b *testing.B) {
+	const faster = 50
+	for _, enabled := range []bool{false, true} {
+		b.Run(fmt.Sprintf("store=%t", enabled), func(b *testing.B) {
+			for b.Loop() {
+				g := kernel.NewGroup(context.Background())
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(b, err)
+				standin.NewPlatform(kernel.SystemClock{}).Serve(g, ln)
+				t := defaultTuning()
+				t.tls = sharedKeys()
+				t.poll, t.renew, t.list = t.poll/faster, t.renew/faster, t.list/faster
+				if enabled {
+					t.store, err = platform.NewClient("http://"+ln.Addr().String(), t.storeWait)
+					require.NoError(b, err)
+				}
+				c, err := start(context.Background(), Options{Self: typicalMember(1), Listen: "127.0.0.1:0"}, t)
+				require.NoError(b, err)
+				time.Sleep(settleSpan)
+				before := processorTime(b)
+				time.Sleep(idleSpan)
+				share := 100 * float64(processorTime(b)-before) / float64(idleSpan)
+				if enabled {
+					share /= faster
+				}
+				b.ReportMetric(share, "%core")
+				require.NoError(b, c.abort())
+				require.NoError(b, g.Stop())
+			}
+		})
+	}
+}
+
+// BenchmarkPeriodicWork measures the tick of control on a view of the target size and of a larger one.
+func BenchmarkPeriodicWork(b *testing.B) {
+	for _, size := range []int{590, 2000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			t := defaultTuning()
+			t.tls = sharedKeys()
+			c, err := start(context.Background(), Options{Self: typicalMember(0), Listen: "127.0.0.1:0"}, t)
+			require.NoError(b, err)
+			c.mu.Lock()
+			c.adopter.StoreSays(1)
+			for i := range size {
+				m := typicalMember(i + 1)
+				m.Control = fmt.Sprintf("127.0.1.%d:%d", i%250+1, i+1)
+				c.view.Merge(c.now(), m)
+			}
+			c.mu.Unlock()
+			body, err := rollout.Encode(configFiles())
+			require.NoError(b, err)
+			c.hold(1, rollout.Hash(body), body)
+			// The tick with which the version takes force has more to do than the ones that follow.
+			eventually(b, "in force", func() bool { return c.Status().Version == 1 })
+			b.ReportAllocs()
+			for b.Loop() {
+				c.tick()
+			}
+			b.StopTimer()
+			require.NoError(b, c.abort())
+		})
+	}
+}
--- /dev/null
+++ b/node/idle_test.go
@@ -0,0 +1,40 @@
+package node_test
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	idleSettle = time.Second
+	idleSpan   = 5 * time.Second
+)
+
+// BenchmarkIdleNodes measures the processor time of nodes without calls and without control, which is that of the timers
+// and of the health check. The backend servers run in this process and are included.
+func BenchmarkIdleNodes(b *testing.B) {
+	for _, nodes := range []int{0, 10, 20} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			w := newWorld(b, chainInventory, chainRules)
+			for range nodes {
+				w.station("payments", text("paid"))
+			}
+			for b.Loop() {
+				time.Sleep(idleSettle)
+				before := processorTime(b)
+				time.Sleep(idleSpan)
+				b.ReportMetric(100*float64(processorTime(b)-before)/float64(idleSpan)/float64(max(nodes, 1)), "%core/node")
+			}
+		})
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
