--- a/control/config.go
+++ b/control/config.go
@@ -277,6 +277,24 @@
 	return c.now().Sub(listed) >= c.tuning.listRare
 }
 
+// deleteLapsed removes a few rows of nodes that ended without notice long ago, which nobody else would remove.
+func (c *Control) deleteLapsed(ctx context.Context, rows []platform.Row) {
+	var writes []platform.Write
+	for _, row := range rows {
+		if !row.Deleted && row.Age() > lapsedLeases*c.tuning.lease && len(writes) < lapsedRows {
+			writes = append(writes, platform.Write{Key: row.Key, Delete: true, IfVersion: kernel.Some(row.Version)})
+		}
+	}
+	if len(writes) == 0 {
+		return
+	}
+	_, err := c.store.Transact(ctx, platform.MembersTable, writes)
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		c.noteStore("delete-lapsed", err)
+	}
+}
+
 func (c *Control) takeRows(rows []platform.Row) {
 	c.mu.Lock()
 	for _, row := range rows {
--- a/control/watch.go
+++ b/control/watch.go
@@ -144,20 +144,6 @@
 	c.dropSeeds()
 }
 
-// placed returns members with their regions as the own configuration states them, or in one region while there is none. An
-// announcement may still carry the region of before the member had a configuration; rings built on such announcements
-// split the nodes into groups that no longer hear of each other.
-func (c *Control) placed(members []membership.Member) []membership.Member {
-	placed := slices.Clone(members)
-	for i := range placed {
-		placed[i].Region = ""
-		if c.held.config != nil {
-			placed[i].Region, _ = c.held.config.Region(placed[i].AvailabilityZone)
-		}
-	}
-	return placed
-}
-
 // askFor returns more peers to ask while this node has no configuration and cannot read the store.
 func (c *Control) askFor() []membership.Member {
 	if c.adopter.InForce() > 0 || c.storeState.ConfigRead {
