--- a/control/tuning.go
+++ b/control/tuning.go
@@ -38,16 +38,18 @@
 
 // tuning holds the intervals and bounds, so that tests can run faster than operation.
 type tuning struct {
-	heartbeat  time.Duration
-	silence    time.Duration
-	dial       time.Duration
-	flood      time.Duration
-	digest     time.Duration
-	suspicion  time.Duration
-	tombstone  time.Duration
-	renew      time.Duration
-	lease      time.Duration
-	list       time.Duration
+	heartbeat time.Duration
+	silence   time.Duration
+	dial      time.Duration
+	flood     time.Duration
+	digest    time.Duration
+	suspicion time.Duration
+	tombstone time.Duration
+	renew     time.Duration
+	lease     time.Duration
+	list      time.Duration
+	// listRare is the time between two listings of a node that hears of changes from its peers.
+	listRare   time.Duration
 	poll       time.Duration
 	seedRetry  time.Duration
 	seedCheck  time.Duration
@@ -79,6 +81,7 @@
 		renew:      30 * time.Second,
 		lease:      120 * time.Second,
 		list:       time.Minute,
+		listRare:   15 * time.Minute,
 		poll:       8 * time.Second,
 		seedRetry:  200 * time.Millisecond,
 		seedCheck:  30 * time.Second,
@@ -100,6 +103,14 @@
 	queuedFrames = 512
 	// askedPeers is the number of peers that a node without configuration asks at a time.
 	askedPeers = 5
+	// lapsedLeases is the age, in leases, at which a row is deleted; a paused node writes its row again when it resumes.
+	lapsedLeases = 30
+	// lapsedRows bounds how many rows a starting node deletes.
+	lapsedRows = 8
+	// recentCrashes fit one frame.
+	recentCrashes = reportsPerFrame
+	// recentSpan is the time for which a request stays quarantined.
+	recentSpan = 10 * time.Minute
 	// seenCrashes bounds the memory of crash reports that were already passed on.
 	seenCrashes = 8192
 )
