--- a/admission/learned.go
+++ b/admission/learned.go
@@ -36,6 +36,10 @@
 	// helped is the latency, relative to that before the reduction, below which the reduction helped. If concurrency
 	// were the cause, the latency would have fallen to about trialShrink.
 	helped = 0.8
+	// floorSlots and floorShare bound the limit from below. The medians of few calls vary so much that a backend server
+	// with 4 slots was held at 1 while calls waited; below these bounds a wrong limit costs more than a right one saves.
+	floorSlots = 4
+	floorShare = 4
 	// firstLimit is the limit of a cold backend server. The first window gives the unloaded latency, so it must be small.
 	firstLimit = 8
 )
@@ -77,6 +81,9 @@
 	return max(1, min(slots, int(l.limit)))
 }
 
+// floor returns the least limit for a number of slots.
+func floor(slots int) float64 { return float64(min(slots, max(floorSlots, slots/floorShare))) }
+
 func (l *learned) Observe(o Observation) {
 	if l.limit == 0 {
 		l.limit = float64(l.Limit(o.Slots))
@@ -126,7 +133,7 @@
 	} else {
 		l.suspect(median)
 	}
-	l.limit = max(1, min(float64(o.Slots), l.limit))
+	l.limit = max(floor(o.Slots), min(float64(o.Slots), l.limit))
 	if int(l.limit) != int(before) {
 		l.changed = o.Now
 	}
--- a/node/backend.go
+++ b/node/backend.go
@@ -63,10 +63,11 @@
 	return b
 }
 
-// setConnections bounds the connections by what the inventory states.
-func (b *backend) setConnections(slots, connections int) {
+// setConnections bounds the connections by what the inventory states. Without a limit on calls in flight only the
+// connections are bounded.
+func (b *backend) setConnections(slots, connections int, limited bool) {
 	limit := slots
-	if connections > 0 && (limit <= 0 || connections < limit) {
+	if connections > 0 && (limit <= 0 || connections < limit || !limited) {
 		limit = connections
 	}
 	b.mu.Lock()
@@ -126,15 +127,19 @@
 	return false
 }
 
-// healthy asks the backend server's health endpoint.
-func (b *backend) healthy() bool {
+// healthy asks the backend server's health endpoint. An answer that is late says nothing: a loaded backend server that was
+// taken out for it would put its load on the others.
+func (b *backend) healthy() (up, known bool) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + b.address + "/health")
 	err := b.client.Load().DoTimeout(req, resp, healthTimeout)
 	_ = resp.CloseBodyStream()
-	return err == nil && resp.StatusCode() == fasthttp.StatusOK
+	if errors.Is(err, fasthttp.ErrTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return false, false
+	}
+	return err == nil && resp.StatusCode() == fasthttp.StatusOK, true
 }
 
 // cancel tells the backend server that the caller of a call gave up.
@@ -151,8 +156,8 @@
 
 // checkHealth announces whether the own backend server takes calls.
 func (n *Node) checkHealth(context.Context) {
-	up := n.backend.healthy()
-	if !n.backend.setUp(up) || n.draining.Load() {
+	up, known := n.backend.healthy()
+	if !known || !n.backend.setUp(up) || n.draining.Load() {
 		return
 	}
 	state := membership.StateStarting
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,8 @@
 	healthInterval = 500 * time.Millisecond
 	// workers bounds the attempts that run at once.
 	workers = 8192
+	// noLimiter names the baseline without a concurrency limit.
+	noLimiter = "none"
 	// queuedTasks bounds the attempts that wait for a worker.
 	queuedTasks = 1024
 )
@@ -288,7 +290,7 @@
 	}
 	n.burn.SetObjectives(burn.ObjectivesOf(cfg))
 	n.gate.setSlots(group.Slots)
-	n.backend.setConnections(group.Slots, group.Connections)
+	n.backend.setConnections(group.Slots, group.Connections, n.settings.Limiter != noLimiter)
 	region, _ := cfg.Region(n.self.AvailabilityZone)
 	n.choosers.setHome(balance.Place{Region: region, AvailabilityZone: n.self.AvailabilityZone})
 	if members := n.members.Load(); members != nil {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+
+	"lovagelane/membership"
 )
 
 // Guards against a call chain that loses the answer, the body or the context on the way through three services.
@@ -226,3 +228,28 @@
 	r := w.send(entry.Addresses().Callers, "GET", "/nursery/map", "")
 	require.Equal(t, fasthttp.StatusOK, r.StatusCode())
 }
+
+// Guards against a request that ran on one backend server and is reported as "not run", because a retry of it was refused.
+func TestRetryDoesNotHideThatARequestMayHaveRun(t *testing.T) {
+	w := newWorld(t, chainInventory, chainRules)
+	seen := 0
+	w.via = func(m membership.Member) membership.Member {
+		if m.Service == "payments" {
+			if seen++; seen > 1 {
+				m.Calls = "127.0.0.1:1" // Nothing listens there, so attempts are "not run".
+			}
+		}
+		return m
+	}
+	a := w.station("payments", func(ctx *fasthttp.RequestCtx, _ func(string, string, string) *fasthttp.Response) {
+		_ = ctx.Conn().Close()
+	})
+	w.station("payments", text(""))
+	w.station("payments", text(""))
+	entry := w.station("nursery", text(""))
+	for i := range 8 {
+		r := w.send(entry.Addresses().Callers, "GET", fmt.Sprintf("/payments/quote?%d", i), "")
+		require.Equal(t, "unknown", outcome(r), reason(r))
+	}
+	require.GreaterOrEqual(t, a.ran.Load(), int64(8))
+}
--- a/node/peer.go
+++ b/node/peer.go
@@ -20,7 +20,9 @@
 
 	mu     sync.Mutex
 	client *fasthttp.HostClient
-	dial   func(string) (net.Conn, error)
+	// questions carries the small messages about attempts on connections of its own, so that they pass a silent one.
+	questions *fasthttp.HostClient
+	dial      func(string) (net.Conn, error)
 }
 
 // nextAttempt numbers a new attempt to another node. One counter serves all receivers, so that a number is not used twice
@@ -35,6 +37,26 @@
 	return p.client
 }
 
+// questionClient returns the client for small messages.
+func (p *peer) questionClient() *fasthttp.HostClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.questions == nil {
+		p.questions = newClient(p.address, p.dial, idleConnection)
+	}
+	return p.questions
+}
+
+// dropQuestions leaves the connections for small messages behind, because one of them gave no answer.
+func (p *peer) dropQuestions(old *fasthttp.HostClient) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.questions == old {
+		p.questions = nil
+		old.CloseIdleConnections()
+	}
+}
+
 // renew leaves all connections of the peer behind, because one of them went silent.
 func (p *peer) renew(old *fasthttp.HostClient) {
 	p.mu.Lock()
@@ -115,15 +137,23 @@
 	return n.peers.get(id, address, n.dialPeer)
 }
 
-// ask sends a small message to another node over a new connection and returns the body of a 200 answer.
-func (n *Node) ask(address, path string, message []byte, timeout time.Duration) ([]byte, error) {
-	client := newClient(address, n.dialPeer, idleConnection)
+// ask sends a small message to another node and returns the body of a 200 answer. Connections for such messages are kept:
+// a TLS handshake for each one cost more than the calls that they were about when many callers gave up at once.
+func (n *Node) ask(p *peer, path string, message []byte, timeout time.Duration) ([]byte, error) {
+	client := p.questionClient()
+	b, err := exchange(client, p.address, path, message, timeout)
+	if err != nil {
+		p.dropQuestions(client)
+	}
+	return b, err
+}
+
+func exchange(client *fasthttp.HostClient, address, path string, message []byte, timeout time.Duration) ([]byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + address + path)
-	req.SetConnectionClose()
 	req.SetBodyRaw(message)
 	if err := client.DoTimeout(req, resp, timeout); err != nil {
 		return nil, err
--- a/node/state.go
+++ b/node/state.go
@@ -57,13 +57,13 @@
 	}
 }
 
-// askState asks the serving node over a new connection; a non-idempotent attempt that it never saw is fenced by this.
+// askState asks the serving node over another connection; a non-idempotent attempt that it never saw is fenced by this.
 func (n *Node) askState(l *launched, nonIdempotent bool) (ticket.State, error) {
 	message, err := cbor.Marshal(attemptQuestion{Version: call.MetaVersion, Attempt: l.attempt, NonIdempotent: nonIdempotent})
 	if err != nil {
 		return ticket.State{}, err
 	}
-	b, err := n.ask(l.peer.address, pathAttempt, message, askTimeout)
+	b, err := n.ask(l.peer, pathAttempt, message, askTimeout)
 	if err != nil {
 		return ticket.State{}, err
 	}
@@ -80,7 +80,7 @@
 	if err != nil {
 		return
 	}
-	_, _ = n.ask(l.peer.address, pathCancel, message, askTimeout)
+	_, _ = n.ask(l.peer, pathCancel, message, askTimeout)
 	n.metrics.Add("cancellations-sent", 1)
 }
 
