Rotate the ticket key without a restart

Cause: a node read one ticket key, once, so a rotation needed a pause for non-idempotent requests and a restart of every node. Refusals without a rule name the line of their operation. The calls that one call makes once by key are bounded. The status page is in kebab case and has region and control address; one event and one gauge for the configuration in force are left.

--- a/call/meta.go
+++ b/call/meta.go
@@ -55,9 +55,9 @@
 
 // Load is a backend server's state as its node sees it.
 type Load struct {
-	InFlight uint16 `cbor:"1,keyasint"`
-	Limit    uint16 `cbor:"2,keyasint"`
-	Queued   uint16 `cbor:"3,keyasint"`
+	InFlight uint16 `cbor:"1,keyasint" json:"in-flight"`
+	Limit    uint16 `cbor:"2,keyasint" json:"limit"`
+	Queued   uint16 `cbor:"3,keyasint" json:"queued"`
 }
 
 // AnswerMeta is what a node sends back with the answer to a call.
--- a/node/admin.go
+++ b/node/admin.go
@@ -38,6 +38,7 @@
 	if cfg := n.config.Load(); cfg != nil {
 		s.ConfigurationVersion = cfg.Version()
 	}
+	s.Member.Region, s.Member.Control, s.Member.Slots = n.region(), n.addresses.Control, n.backend.slots()
 	switch {
 	case s.Draining:
 		s.Member.State = membership.StateDraining
--- a/node/caller.go
+++ b/node/caller.go
@@ -99,7 +99,7 @@
 		out.requestID = n.newRequestID()
 	}
 	out.digest = digestOf(out)
-	value := n.pressures.value(arrived, op.Class, caller, baseValue(n.secret, out.requestID))
+	value := n.pressures.value(arrived, op.Class, caller, baseValue(n.ticketKeys[0], out.requestID))
 	out.priority = call.Priority{Rank: op.Rank, Value: value}
 	return out
 }
@@ -211,6 +211,9 @@
 	name := "none"
 	if op != nil {
 		name = op.Name
+		if r.Rule == "" {
+			r.Rule = op.Line.String()
+		}
 	}
 	n.metrics.Add("refused", 1, string(r.Reason), name)
 	n.recordRefusal(op, r)
--- a/node/inner.go
+++ b/node/inner.go
@@ -31,13 +31,17 @@
 	return f.inner.repeats.Repeats(digest)
 }
 
-// claim returns the record of a non-idempotent call and whether the caller of claim is the one to make it.
+// claim returns the record of a non-idempotent call and whether the caller of claim is the one to make it. It returns nil
+// when the parent has made too many calls to tell repeats apart.
 func (f *flight) claim(key string) (*innerCall, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c, ok := f.inner.byKey[key]; ok {
 		return c, false
 	}
+	if len(f.inner.byKey) >= retry.MaxInner {
+		return nil, false
+	}
 	if f.inner.byKey == nil {
 		f.inner.byKey = map[string]*innerCall{}
 	}
@@ -133,6 +137,10 @@
 	}
 	key = out.op.Service + " " + key
 	c, mine := f.claim(key)
+	if c == nil {
+		n.refuseCaller(ctx, &out.op, refusal(call.ReasonBusy, call.OutcomeNotRun, out.op.Line.String()))
+		return
+	}
 	if !mine {
 		n.joinInner(ctx, out, c)
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -87,7 +87,8 @@
 	group    *kernel.Group
 	pool     *kernel.Pool
 	control  Control
-	secret   []byte
+	// ticketKeys are the keys at the start; the first one also keeps callers from choosing their value.
+	ticketKeys [][]byte
 
 	config     atomic.Pointer[inventory.Config]
 	members    atomic.Pointer[map[string]membership.Member]
@@ -176,7 +177,7 @@
 		return nil, Err.New("%s is for the role %q, which other nodes refuse: use node.pem and its key", o.Settings.Certificate, role)
 	}
 	n.keyring = keyring
-	if n.secret, err = loadTicketKey(o.Settings.TicketKey); err != nil {
+	if n.ticketKeys, err = keys.LoadTicketKeys(o.Settings.TicketKey); err != nil {
 		return nil, err
 	}
 	if n.gate, err = newGate(o.Settings.Limiter); err != nil {
@@ -224,7 +225,7 @@
 	}
 	n.self.Calls, n.self.Callers = calls.Addr().String(), callers.Addr().String()
 	n.addresses = Addresses{Callers: n.self.Callers, Backend: back.Addr().String(), Calls: n.self.Calls, Admin: admin.Addr().String()}
-	n.owned.init(n.secret, n.self.ID, n.self.Calls, n.started)
+	n.owned.init(n.ticketKeys, n.self.ID, n.self.Calls, n.started)
 	n.attempts.init(n.self.ID)
 	n.burn = burn.NewRecorder(burn.Node{ID: n.self.ID, Address: n.self.Calls, AvailabilityZone: n.self.AvailabilityZone}, n.clock)
 	if err := n.startControl(o); err != nil {
@@ -282,7 +283,6 @@
 		return
 	}
 	n.config.Store(cfg)
-	n.metrics.Set("configuration-version", int64(cfg.Version()))
 	group, ok := cfg.BackendServers(n.self.Service, n.self.AvailabilityZone)
 	if !ok {
 		n.log.Warn("not-in-inventory", "service", n.self.Service, "availability-zone", n.self.AvailabilityZone,
@@ -296,7 +296,6 @@
 	if members := n.members.Load(); members != nil {
 		n.choosers.update(n, *members)
 	}
-	n.log.Info("configuration-in-force", "version", cfg.Version())
 }
 
 // setMembers takes a new view of the other nodes.
@@ -326,6 +325,11 @@
 	} else if replaced {
 		n.log.Info("key-reloaded")
 	}
+	if current, err := keys.LoadTicketKeys(n.settings.TicketKey); err != nil {
+		n.log.Warn("ticket-key-not-reloaded", "error", err)
+	} else {
+		n.owned.issuer.SetKeys(current)
+	}
 	n.peers.closeIdle()
 }
 
--- a/node/owned.go
+++ b/node/owned.go
@@ -25,8 +25,9 @@
 	changed chan struct{}
 }
 
-func (o *owned) init(secret []byte, member, address string, started time.Time) {
-	o.issuer = ticket.NewIssuer(secret, member, address, started)
+func (o *owned) init(keys [][]byte, member, address string, started time.Time) {
+	o.issuer = ticket.NewIssuer(keys[0], member, address, started)
+	o.issuer.SetKeys(keys)
 	o.owner = ticket.NewOwner(member, started)
 	o.changed = make(chan struct{})
 }
@@ -117,7 +118,7 @@
 func (n *Node) runOwned(ctx *fasthttp.RequestCtx, out *outbound, t ticket.Ticket) {
 	// All sends with one ticket are one request and get one value.
 	out.requestID = t.Owner[:min(8, len(t.Owner))] + "-" + strconv.FormatUint(t.Seq, 10)
-	out.priority.Value = out.priority.Value&call.FairValues | baseValue(n.secret, out.requestID)
+	out.priority.Value = out.priority.Value&call.FairValues | baseValue(n.ticketKeys[0], out.requestID)
 	timer := time.NewTimer(out.deadline.Sub(n.clock.Now()))
 	defer timer.Stop()
 	verdict, changed := n.owned.begin(n.clock.Now(), t, out)
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -4,6 +4,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,19 +70,41 @@
 
 // Issuer issues and verifies tickets; it is safe for concurrent use. Its zero value has no key and verifies none.
 type Issuer struct {
-	key     []byte
 	owner   string
 	address string
 	start   time.Time
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// keys holds the key that signs first; all of them verify.
+	keys   [][]byte
 	seq    uint64
 	issued uint64
 }
 
 // NewIssuer returns an issuer for the node with this member id and calls address, under the deployment's ticket key.
 func NewIssuer(key []byte, owner, address string, start time.Time) *Issuer {
-	return &Issuer{key: append([]byte(nil), key...), owner: owner, address: address, start: start}
+	i := &Issuer{owner: owner, address: address, start: start}
+	i.SetKeys([][]byte{key})
+	return i
+}
+
+// SetKeys replaces the ticket keys: the first one signs, all of them verify, so that keys can be rotated.
+func (i *Issuer) SetKeys(keys [][]byte) {
+	copies := make([][]byte, 0, len(keys))
+	for _, key := range keys {
+		if len(key) > 0 {
+			copies = append(copies, slices.Clone(key))
+		}
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.keys = copies
+}
+
+func (i *Issuer) currentKeys() [][]byte {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.keys
 }
 
 // Issue returns a new ticket for a request to the service, in the form that callers send back.
@@ -90,7 +113,11 @@
 }
 
 func (i *Issuer) sign(payload []byte) string {
-	return encoding.EncodeToString(mustMarshal(token{Version: version, Payload: payload, MAC: i.mac(payload)}))
+	var key []byte
+	if keys := i.currentKeys(); len(keys) > 0 {
+		key = keys[0]
+	}
+	return encoding.EncodeToString(mustMarshal(token{Version: version, Payload: payload, MAC: mac(key, payload)}))
 }
 
 func (i *Issuer) next(now time.Time, service string) Ticket {
@@ -118,10 +145,11 @@
 	if tok.Version != version {
 		return Ticket{}, ErrMalformed.New("version %d, this node reads version %d: get a new ticket", tok.Version, version)
 	}
-	if len(i.key) == 0 {
+	keys := i.currentKeys()
+	if len(keys) == 0 {
 		return Ticket{}, ErrForged.New("this node has no ticket key: give it the deployment's key")
 	}
-	if !hmac.Equal(tok.MAC, i.mac(tok.Payload)) {
+	if !slices.ContainsFunc(keys, func(key []byte) bool { return hmac.Equal(tok.MAC, mac(key, tok.Payload)) }) {
 		return Ticket{}, ErrForged.New("the MAC does not fit: send the ticket as it was issued, or get a new one")
 	}
 	var t Ticket
@@ -134,8 +162,8 @@
 	return t, nil
 }
 
-func (i *Issuer) mac(payload []byte) []byte {
-	h := hmac.New(sha256.New, i.key)
+func mac(key, payload []byte) []byte {
+	h := hmac.New(sha256.New, key)
 	// The purpose and the version keep a MAC made for something else under the same key from being accepted.
 	_, _ = h.Write([]byte{'t', 'i', 'c', 'k', 'e', 't', version})
 	_, _ = h.Write(payload)
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -124,3 +124,20 @@
 		require.NotZero(t, got.Seq)
 	})
 }
+
+// Guards against tickets that stop being valid while a new ticket key is brought to the nodes one after another.
+func TestTicketsSurviveKeyRotation(t *testing.T) {
+	before, after := []byte("0123456789abcdef0123456789abcdef"), []byte("fedcba9876543210fedcba9876543210")
+	start := time.Now()
+	issuer, other := ticket.NewIssuer(before, "a", "127.0.0.1:1", start), ticket.NewIssuer(before, "b", "127.0.0.1:2", start)
+	token := issuer.Issue(start, "nursery")
+	other.SetKeys([][]byte{after, before})
+	_, err := other.Parse(token)
+	require.NoError(t, err)
+	issuer.SetKeys([][]byte{before, after})
+	_, err = issuer.Parse(other.Issue(start, "nursery"))
+	require.NoError(t, err)
+	other.SetKeys([][]byte{after})
+	_, err = other.Parse(token)
+	require.True(t, ticket.ErrForged.Has(err))
+}
