List the members table each minute on link nodes only

Cause: a renewal changes each row about every 26 s, so that the incremental listing of each minute always carries the whole table.

Change: nodes that hold links between regions, four of each region, list each minute and flood what is new. Other nodes list at their start, while they have no peers, and every 15 minutes.

A group of nodes that lost the others still finds them, since its own link nodes list.

--- a/control/config.go
+++ b/control/config.go
@@ -237,8 +237,13 @@
 // listLoop reads the members table, first as a whole and then what changed.
 func (c *Control) listLoop(ctx context.Context) error {
 	var since uint64
+	var listed time.Time
 	wait := c.options.Rand.Jitter(c.tuning.seedRetry, 1)
 	for sleep(ctx, wait) {
+		wait = c.options.Rand.Jitter(c.tuning.list, jitter)
+		if !c.listDue(listed) {
+			continue
+		}
 		revision, rows, err := c.store.Rows(ctx, platform.MembersTable, since)
 		c.noteStore("list", err)
 		switch {
@@ -248,13 +253,25 @@
 			since = 0
 		default:
 			since = revision
+			listed = c.now()
 			c.takeRows(rows)
 		}
-		wait = c.options.Rand.Jitter(c.tuning.list, jitter)
 	}
 	return nil
 }
 
+// listDue reports whether to list now. Renewals change every row twice a minute, so each listing carries the whole table:
+// about 250 KB at the target size. The link nodes of a region list each minute and flood what is new; the others do so
+// only now and then, or while they have no peers to hear from.
+func (c *Control) listDue(listed time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.synced || len(c.peers) == 0 || c.rings.HoldsLinks(c.view.Self()) {
+		return true
+	}
+	return c.now().Sub(listed) >= c.tuning.listRare
+}
+
 func (c *Control) takeRows(rows []platform.Row) {
 	c.mu.Lock()
 	for _, row := range rows {
--- a/control/rings_test.go
+++ b/control/rings_test.go
@@ -1,11 +1,14 @@
 package control
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"lovagelane/inventory"
+	"lovagelane/kernel"
 	"lovagelane/membership"
 	"lovagelane/rollout"
 )
@@ -36,3 +39,32 @@
 		{Name: "rules.ini", Text: "[class all]\nrank = 1\ndefault = yes\n"},
 	}
 }
+
+// Guards against a listing of the whole table by every node each minute, and against nodes that nobody lists for.
+func TestOnlyLinkNodesListOften(t *testing.T) {
+	n := startNode(t, place{id: "self", region: "rn"})
+	n.Control.mu.Lock()
+	for i := range 20 {
+		m := typicalMember(i)
+		m.Control = fmt.Sprint("127.0.0.1:", i+1)
+		n.view.Merge(n.now(), m)
+	}
+	rings := membership.NewRings(n.view.Live())
+	n.tuning.listRare = time.Hour
+	n.rings = rings
+	n.Control.mu.Unlock()
+	listed := n.now()
+	require.True(t, n.listDue(listed), "a node without peers lists")
+
+	often := 0
+	for i := range 20 {
+		c := &Control{options: Options{Clock: kernel.SystemClock{}}, tuning: tuning{listRare: time.Hour}, rings: rings, synced: true,
+			view: membership.NewView(listed, typicalMember(i)), peers: map[*peer]struct{}{{}: {}}}
+		if c.listDue(listed) {
+			often++
+		}
+		require.True(t, c.listDue(listed.Add(-time.Hour)), "each node lists now and then")
+	}
+	require.LessOrEqual(t, often, membership.LinkNodes)
+	require.GreaterOrEqual(t, often, membership.LinkNodes-1, "the own node may be one of them")
+}
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"testing"
@@ -128,3 +129,33 @@
 		})
 	}
 }
+
+// BenchmarkListing measures a listing of the whole table: its bytes and the time to merge what is known already.
+func BenchmarkListing(b *testing.B) {
+	for _, size := range []int{590, 2000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			t := defaultTuning()
+			t.tls = sharedKeys()
+			c, err := start(context.Background(), Options{Self: typicalMember(0), Listen: "127.0.0.1:0"}, t)
+			require.NoError(b, err)
+			var rows []platform.Row
+			for i := range size {
+				m := typicalMember(i + 1)
+				m.Control = fmt.Sprintf("127.0.1.%d:%d", i%250+1, i+1)
+				value, err := json.Marshal(announcement{Member: m, LeaseMillis: 120000})
+				require.NoError(b, err)
+				rows = append(rows, platform.Row{Key: m.ID, Value: string(value), Version: 3000, Revision: 1_800_000, AgeMillis: 12345})
+			}
+			body, err := json.Marshal(rows)
+			require.NoError(b, err)
+			for b.Loop() {
+				var read []platform.Row
+				require.NoError(b, json.Unmarshal(body, &read))
+				c.takeRows(read)
+			}
+			b.ReportMetric(float64(len(body)), "B/listing")
+			b.StopTimer()
+			require.NoError(b, c.abort())
+		})
+	}
+}
--- a/control/tuning.go
+++ b/control/tuning.go
@@ -18,16 +18,18 @@
 
 // tuning holds the intervals and bounds, so that tests can run faster than operation.
 type tuning struct {
-	heartbeat  time.Duration
-	silence    time.Duration
-	dial       time.Duration
-	flood      time.Duration
-	digest     time.Duration
-	suspicion  time.Duration
-	tombstone  time.Duration
-	renew      time.Duration
-	lease      time.Duration
-	list       time.Duration
+	heartbeat time.Duration
+	silence   time.Duration
+	dial      time.Duration
+	flood     time.Duration
+	digest    time.Duration
+	suspicion time.Duration
+	tombstone time.Duration
+	renew     time.Duration
+	lease     time.Duration
+	list      time.Duration
+	// listRare is the time between two listings of a node that hears of changes from its peers.
+	listRare   time.Duration
 	poll       time.Duration
 	seedRetry  time.Duration
 	seedCheck  time.Duration
@@ -59,6 +61,7 @@
 		renew:      30 * time.Second,
 		lease:      120 * time.Second,
 		list:       time.Minute,
+		listRare:   15 * time.Minute,
 		poll:       8 * time.Second,
 		seedRetry:  200 * time.Millisecond,
 		seedCheck:  30 * time.Second,
--- a/membership/rings.go
+++ b/membership/rings.go
@@ -74,6 +74,11 @@
 	return watched
 }
 
+// HoldsLinks reports whether the member is one of those of its region that hold links.
+func (r Rings) HoldsLinks(m Member) bool {
+	return slices.ContainsFunc(r.regions[m.Region].links, func(l Member) bool { return l.ID == m.ID })
+}
+
 // Links returns the members of other regions to which a member dials a link. The region that comes first by name dials, so
 // that each pair of link nodes has one connection.
 func (r Rings) Links(m Member) []Member {
