Read requests and repeat periodic work in one place each

Cause: the node matched and read requests in two copies, the control part had its timer loop twice. Change: node.read and Control.repeat.

--- a/control/config.go
+++ b/control/config.go
@@ -114,6 +114,11 @@
 
 // pollLoop looks for a new configuration in the store, at intervals and when PollStore asks for it.
 func (c *Control) pollLoop(ctx context.Context) error {
+	return c.repeat(ctx, c.tuning.poll, c.pollNow, c.poll)
+}
+
+// repeat calls f soon after the start, then at intervals and whenever now has a signal, until ctx ends.
+func (c *Control) repeat(ctx context.Context, interval time.Duration, now <-chan struct{}, f func(context.Context)) error {
 	wait := c.options.Rand.Jitter(c.tuning.seedRetry, 1)
 	for {
 		timer := time.NewTimer(wait)
@@ -121,12 +126,12 @@
 		case <-ctx.Done():
 			timer.Stop()
 			return nil
-		case <-c.pollNow:
+		case <-now:
 		case <-timer.C:
 		}
 		timer.Stop()
-		c.poll(ctx)
-		wait = c.options.Rand.Jitter(c.tuning.poll, jitter)
+		f(ctx)
+		wait = c.options.Rand.Jitter(interval, jitter)
 	}
 }
 
@@ -187,20 +192,7 @@
 
 // announceLoop writes the own row at intervals and after each change of the own state.
 func (c *Control) announceLoop(ctx context.Context) error {
-	wait := c.options.Rand.Jitter(c.tuning.seedRetry, 1)
-	for {
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return nil
-		case <-c.renewNow:
-		case <-timer.C:
-		}
-		timer.Stop()
-		c.writeRow(ctx)
-		wait = c.options.Rand.Jitter(c.tuning.renew, jitter)
-	}
+	return c.repeat(ctx, c.tuning.renew, c.renewNow, c.writeRow)
 }
 
 func (c *Control) writeRow(ctx context.Context) {
--- a/node/caller.go
+++ b/node/caller.go
@@ -42,25 +42,30 @@
 	n.enter(ctx, "")
 }
 
-// enter takes a request into the deployment: class, value, deadline and retry account come from the rules. The caller is
-// empty for a request from outside, whose claims are checked.
-func (n *Node) enter(ctx *fasthttp.RequestCtx, caller string) {
-	arrived := n.clock.Now()
+// incoming is a request as it is matched with the rules.
+type incoming struct {
+	op     inventory.Operation
+	target string
+	body   body
+}
+
+// read matches a request with the rules and reads its body. It answers a request that cannot be carried and returns false.
+func (n *Node) read(ctx *fasthttp.RequestCtx) (incoming, bool) {
 	cfg := n.config.Load()
 	if cfg == nil {
 		n.refuseCaller(ctx, nil, refusal(call.ReasonNoConfiguration, call.OutcomeNotRun, ""))
-		return
+		return incoming{}, false
 	}
 	name, target := splitPath(ctx.Request.Header.RequestURI())
 	service, ok := cfg.Service(name)
 	if !ok {
 		n.refuseCaller(ctx, nil, refusal(call.ReasonUnknownService, call.OutcomeNotRun, ""))
-		return
+		return incoming{}, false
 	}
 	path, ok := rulePath(ctx, name)
 	if !ok {
 		n.refuseCaller(ctx, nil, refusal(call.ReasonBadRequest, call.OutcomeNotRun, ""))
-		return
+		return incoming{}, false
 	}
 	op := cfg.Operation(name, string(ctx.Method()), path)
 	b, reason := readBody(ctx, service.MaxBody)
@@ -68,9 +73,21 @@
 		discardBody(ctx)
 		ctx.SetConnectionClose()
 		n.refuseCaller(ctx, &op, refusal(reason, call.OutcomeNotRun, service.Line.String()))
+		return incoming{}, false
+	}
+	return incoming{op: op, target: target, body: b}, true
+}
+
+// enter takes a request into the deployment: class, value, deadline and retry account come from the rules. The caller is
+// empty for a request from outside, whose claims are checked.
+func (n *Node) enter(ctx *fasthttp.RequestCtx, caller string) {
+	arrived := n.clock.Now()
+	in, ok := n.read(ctx)
+	if !ok {
 		return
 	}
-	out := n.outboundOf(ctx, op, target, b, arrived, caller)
+	op := in.op
+	out := n.outboundOf(ctx, in, arrived, caller)
 	if n.poison.refuses(arrived, out.digest, 0) {
 		n.refuseCaller(ctx, &op, refusal(call.ReasonQuarantined, call.OutcomeNotRun, op.Line.String()))
 		return
@@ -83,7 +100,8 @@
 }
 
 // outboundOf builds the call that a request from outside becomes.
-func (n *Node) outboundOf(ctx *fasthttp.RequestCtx, op inventory.Operation, target string, b body, arrived time.Time, caller string) *outbound {
+func (n *Node) outboundOf(ctx *fasthttp.RequestCtx, in incoming, arrived time.Time, caller string) *outbound {
+	op := in.op
 	timeout := op.Timeout
 	if stated, ok := statedDeadline(&ctx.Request.Header); ok && stated < timeout {
 		timeout = stated
@@ -92,8 +110,8 @@
 		caller = n.callerName(ctx, string(ctx.Request.Header.Peek(headerCaller)))
 	}
 	out := &outbound{
-		op: op, arrived: arrived, deadline: arrived.Add(timeout), caller: caller, method: string(ctx.Method()), target: target,
-		header: &ctx.Request.Header, body: b, requestID: string(ctx.Request.Header.Peek(headerRequestID)),
+		op: op, arrived: arrived, deadline: arrived.Add(timeout), caller: caller, method: string(ctx.Method()),
+		target: in.target, header: &ctx.Request.Header, body: in.body, requestID: string(ctx.Request.Header.Peek(headerRequestID)),
 	}
 	if out.requestID == "" || len(out.requestID) > maxRequestID {
 		out.requestID = n.newRequestID()
--- a/node/inner.go
+++ b/node/inner.go
@@ -6,7 +6,6 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/call"
-	"lovagelane/inventory"
 	"lovagelane/retry"
 	"lovagelane/ticket"
 )
@@ -78,25 +77,12 @@
 // enterInner carries a call that a backend server makes for a call that it runs. Priority, deadline and retries are the
 // parent's.
 func (n *Node) enterInner(ctx *fasthttp.RequestCtx, f *flight) {
-	cfg := n.config.Load()
-	name, target := splitPath(ctx.Request.Header.RequestURI())
-	service, ok := cfg.Service(name)
+	in, ok := n.read(ctx)
 	if !ok {
-		n.refuseCaller(ctx, nil, refusal(call.ReasonUnknownService, call.OutcomeNotRun, ""))
 		return
 	}
-	path, ok := rulePath(ctx, name)
-	if !ok {
-		n.refuseCaller(ctx, nil, refusal(call.ReasonBadRequest, call.OutcomeNotRun, ""))
-		return
-	}
-	op := cfg.Operation(name, string(ctx.Method()), path)
-	b, reason := readBody(ctx, service.MaxBody)
-	if reason != call.ReasonNone {
-		n.refuseCaller(ctx, &op, refusal(reason, call.OutcomeNotRun, service.Line.String()))
-		return
-	}
-	out := n.innerOf(ctx, f, op, target, b)
+	op := in.op
+	out := n.innerOf(ctx, f, in)
 	switch {
 	case op.NonIdempotent:
 		n.enterInnerOnce(ctx, f, out)
@@ -107,7 +93,8 @@
 	}
 }
 
-func (n *Node) innerOf(ctx *fasthttp.RequestCtx, f *flight, op inventory.Operation, target string, b body) *outbound {
+func (n *Node) innerOf(ctx *fasthttp.RequestCtx, f *flight, in incoming) *outbound {
+	op := in.op
 	deadline := n.clock.Now().Add(op.Timeout)
 	if f.deadline.Before(deadline) {
 		deadline = f.deadline
@@ -115,8 +102,8 @@
 	_, crashes := f.learned()
 	out := &outbound{
 		op: op, arrived: n.clock.Now(), requestID: f.meta.RequestID, priority: f.meta.Priority, deadline: deadline, account: f.account.outgoing(),
-		depth: f.meta.Depth + 1, crashes: crashes, caller: f.meta.Caller, method: string(ctx.Method()), target: target,
-		header: &ctx.Request.Header, body: b, cancelled: f.cancelled,
+		depth: f.meta.Depth + 1, crashes: crashes, caller: f.meta.Caller, method: string(ctx.Method()), target: in.target,
+		header: &ctx.Request.Header, body: in.body, cancelled: f.cancelled,
 	}
 	out.digest = digestOf(out)
 	return out
