Count the own backend server with its slots

Cause: a node announces itself before a configuration tells its slots, and used that announcement for its own choice. Its backend server counted as one with a single slot and got 8 of 320 calls beside an equal one. Change: the own candidate takes the slots of the configuration in force. A place that the testbed adds later no longer takes an earlier one's files. Conclusion: calls that stay on the instance are used again.

--- a/node/chooser.go
+++ b/node/chooser.go
@@ -128,7 +128,10 @@
 		}
 	}
 	if n.self.Service == service && n.backend.isUp() && !n.draining.Load() {
-		list = append(list, n.candidate(n.self))
+		self := n.self
+		// The own announcement is made before the configuration tells the slots.
+		self.Slots = n.backend.slots()
+		list = append(list, n.candidate(self))
 	}
 	return list
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -253,3 +254,30 @@
 	}
 	require.GreaterOrEqual(t, a.ran.Load(), int64(8))
 }
+
+// Guards against a node that hardly ever chooses its own backend server, because it took it for one without slots.
+func TestOwnBackendServerTakesItsShare(t *testing.T) {
+	w := newWorld(t, chainInventory, chainRules)
+	w.via = func(m membership.Member) membership.Member {
+		m.Slots = 20
+		return m
+	}
+	slow := func(*fasthttp.RequestCtx, func(string, string, string) *fasthttp.Response) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	own, other := w.station("nursery", slow), w.station("nursery", slow)
+	var g errgroup.Group
+	for range 8 {
+		g.Go(func() error {
+			for range 40 {
+				if _, err := trySend(own.Addresses().Callers, "GET", "/nursery/map", ""); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+	require.GreaterOrEqual(t, own.ran.Load()+other.ran.Load(), int64(320), "hedges may add some")
+	require.Greater(t, own.ran.Load(), int64(80), "of 320, with an equal one beside it")
+}
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -111,8 +111,8 @@
 // Add starts the backend servers of the services with their nodes; it does not wait until they serve.
 func (b *Bed) Add(services ...Service) error {
 	for _, s := range services {
-		for i, zone := range s.Zones {
-			if err := b.addPlace(s, zone, i); err != nil {
+		for _, zone := range s.Zones {
+			if err := b.addPlace(s, zone); err != nil {
 				return err
 			}
 		}
@@ -120,14 +120,15 @@
 	return nil
 }
 
-func (b *Bed) addPlace(s Service, zone string, i int) error {
+func (b *Bed) addPlace(s Service, zone string) error {
 	a, err := b.ports.take(6)
 	if err != nil {
 		return err
 	}
 	p := &Place{Service: s.Name, Zone: zone, BackendAddress: a[0], Callers: a[1], Listen: a[2], Calls: a[3], Control: a[4],
 		Admin: a[5]}
-	name := fmt.Sprintf("%s-%d", s.Name, i)
+	// A place that is added later must not take the files of an earlier one.
+	name := fmt.Sprintf("%s-%d", s.Name, len(b.Of(s.Name)))
 	if first := b.Of(s.Name); b.opt.SharedBackends && len(first) > 0 {
 		p.Backend, p.BackendAddress = first[0].Backend, first[0].BackendAddress
 		return b.addNode(name, p)
