Bound the connections of the listeners

Cause: each open connection may hold 80 KB, and fasthttp takes 262,144. Change: 768 connections from callers, 2048 from nodes, 32 for operators.

--- a/node/node.go
+++ b/node/node.go
@@ -37,6 +37,11 @@
 	serverIdle = 60 * time.Second
 	// slowBody is how long a caller may take to send a request.
 	slowBody = 30 * time.Second
+	// callerConnections, nodeConnections and adminConnections bound the connections of the listeners. Each one holds up
+	// to 80 KB of headers and body, so these keep slow senders from filling the memory of the instance.
+	callerConnections = 768
+	nodeConnections   = 2048
+	adminConnections  = 32
 	// drainGrace is how long calls are still taken after the drain was announced, so that the announcement can spread.
 	drainGrace = time.Second
 	// healthInterval is the period of the health check of the own backend server.
@@ -231,10 +236,10 @@
 	if err := n.startControl(o); err != nil {
 		return err
 	}
-	n.serve("callers", callers, n.handleCaller, true)
-	n.serve("backend", back, n.handleBackend, true)
-	n.serve("calls", n.secure(calls), n.handleCalls, true)
-	n.serve("admin", admin, n.handleAdmin, false)
+	n.serve("callers", callers, n.handleCaller, callerConnections)
+	n.serve("backend", back, n.handleBackend, callerConnections)
+	n.serve("calls", n.secure(calls), n.handleCalls, nodeConnections)
+	n.serve("admin", admin, n.handleAdmin, adminConnections)
 	return nil
 }
 
@@ -258,9 +263,9 @@
 }
 
 // serve runs an HTTP server on a listener until the node stops.
-func (n *Node) serve(name string, ln net.Listener, handler fasthttp.RequestHandler, stream bool) {
+func (n *Node) serve(name string, ln net.Listener, handler fasthttp.RequestHandler, connections int) {
 	s := &fasthttp.Server{
-		Handler: handler, Name: "lovagelane", StreamRequestBody: stream, MaxRequestBodySize: bufferedBody,
+		Handler: handler, Name: "lovagelane", StreamRequestBody: true, Concurrency: connections, MaxRequestBodySize: bufferedBody,
 		ReadBufferSize: maxHeaders, ReadTimeout: slowBody, IdleTimeout: serverIdle, NoDefaultDate: true,
 		NoDefaultContentType: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: quietLogger{},
 		ErrorHandler: n.refuseUnreadable,
