Gather changes of state before they are written to the store

Cause: each change of a node's state wrote its row at once. The store takes several hundred writes a second, and nodes of an availability zone that start together wrote about two rows each within a second.

Change: after the first write of its row, soon after the start, a node waits up to 2 s, at random, before it writes further changes, which then share a write.

Peers hear of a state by flooding as before.

--- a/control/config.go
+++ b/control/config.go
@@ -183,21 +183,32 @@
 	LeaseMillis int64 `json:"lease-ms"`
 }
 
-// announceLoop writes the own row at intervals and after each change of the own state.
+// announceLoop writes the own row soon after the start, at intervals and after changes of the own state.
 func (c *Control) announceLoop(ctx context.Context) error {
-	wait := c.options.Rand.Jitter(c.tuning.seedRetry, 1)
+	if !sleep(ctx, c.options.Rand.Jitter(c.tuning.seedRetry, 1)) {
+		return nil
+	}
 	for {
+		select {
+		case <-c.renewNow:
+			// The row that is written next has this change.
+		default:
+		}
+		c.writeRow(ctx)
+		wait := c.options.Rand.Jitter(c.tuning.renew, jitter)
 		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return nil
 		case <-c.renewNow:
+			timer.Stop()
+			if !sleep(ctx, c.options.Rand.Jitter(c.tuning.gather, 1)) {
+				return nil
+			}
 		case <-timer.C:
 		}
 		timer.Stop()
-		c.writeRow(ctx)
-		wait = c.options.Rand.Jitter(c.tuning.renew, jitter)
 	}
 }
 
--- a/control/rings_test.go
+++ b/control/rings_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"lovagelane/inventory"
 	"lovagelane/kernel"
 	"lovagelane/membership"
+	"lovagelane/platform"
 	"lovagelane/rollout"
 )
 
@@ -68,3 +71,31 @@
 	require.LessOrEqual(t, often, membership.LinkNodes)
 	require.GreaterOrEqual(t, often, membership.LinkNodes-1, "the own node may be one of them")
 }
+
+// Guards against a write for each of the changes that a node goes through at its start, which would exceed the writes that
+// the store takes when an availability zone starts at once.
+func TestChangesOfStateShareAWrite(t *testing.T) {
+	store := newMemoryStore()
+	tuned := defaultTuning()
+	tuned.tls, tuned.store, tuned.gather = sharedKeys(), store, 300*time.Millisecond
+	c, err := start(context.Background(), Options{Self: typicalMember(1), Listen: "127.0.0.1:0"}, tuned)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.abort() })
+	written := func() uint64 {
+		row, _, err := store.Row(context.Background(), platform.MembersTable, c.selfID())
+		require.NoError(t, err)
+		return row.Version
+	}
+	eventually(t, "the row is there", func() bool { return written() == 1 })
+	const changes = 20
+	for i := range changes {
+		c.SetState([]membership.State{membership.StateStarting, membership.StateServing}[i%2])
+		time.Sleep(5 * time.Millisecond)
+	}
+	eventually(t, "the last change is written", func() bool {
+		row, _, err := store.Row(context.Background(), platform.MembersTable, c.selfID())
+		require.NoError(t, err)
+		return strings.Contains(row.Value, fmt.Sprintf(`"counter":%d,`, typicalMember(1).Counter+changes))
+	})
+	require.LessOrEqual(t, written(), uint64(changes/2), "each change was written")
+}
--- a/control/tuning.go
+++ b/control/tuning.go
@@ -27,7 +27,10 @@
 	tombstone time.Duration
 	renew     time.Duration
 	lease     time.Duration
-	list      time.Duration
+	// gather is the longest time that a change of the own state waits before it is written to the store, for other changes
+	// and so that nodes which start together do not write together.
+	gather time.Duration
+	list   time.Duration
 	// listRare is the time between two listings of a node that hears of changes from its peers.
 	listRare   time.Duration
 	poll       time.Duration
@@ -60,6 +63,7 @@
 		tombstone:  membership.TombstoneRetention,
 		renew:      30 * time.Second,
 		lease:      120 * time.Second,
+		gather:     2 * time.Second,
 		list:       time.Minute,
 		listRare:   15 * time.Minute,
 		poll:       8 * time.Second,
