--- a/balance/policy.go
+++ b/balance/policy.go
@@ -94,18 +94,19 @@
 	return Chosen{ID: p.candidate.ID, Probe: due, CrossRegion: p.tier == tierRegions}
 }
 
-// lastResort returns the least bad candidate: a suspected one, then an avoided one; the nearest and least loaded first. A candidate that refuses the priority is never chosen.
+// lastResort returns the least bad candidate: a suspected one, then an avoided one; the nearest and least loaded first.
+// A candidate that refuses the priority is never chosen.
 func (c *Chooser) lastResort(now time.Time, q Query) Choice {
 	var best *peer
 	var bestRank int
 	var bestScore float64
-	refused := false
+	refused, level := false, uint16(0)
 	for _, p := range c.all {
 		if q.Exclude.Has(p.candidate.ID) {
 			continue
 		}
 		if p.refuses(now, q.Priority) {
-			refused = true
+			refused, level = true, max(level, p.level)
 			continue
 		}
 		rank := p.tier
@@ -124,7 +125,7 @@
 	case best != nil:
 		return c.chosen(now, best)
 	case refused:
-		return None{Reason: call.ReasonShed}
+		return None{Reason: call.ReasonShed, Level: call.PriorityOf(level)}
 	default:
 		return None{Reason: call.ReasonNoBackendServer}
 	}
--- a/control/config.go
+++ b/control/config.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"lovagelane/inventory"
+	"lovagelane/kernel"
 	"lovagelane/membership"
 	"lovagelane/platform"
 	"lovagelane/rollout"
@@ -112,6 +114,11 @@
 
 // pollLoop looks for a new configuration in the store, at intervals and when PollStore asks for it.
 func (c *Control) pollLoop(ctx context.Context) error {
+	return c.repeat(ctx, c.tuning.poll, c.pollNow, c.poll)
+}
+
+// repeat calls f soon after the start, then at intervals and whenever now has a signal, until ctx ends.
+func (c *Control) repeat(ctx context.Context, interval time.Duration, now <-chan struct{}, f func(context.Context)) error {
 	wait := c.options.Rand.Jitter(c.tuning.seedRetry, 1)
 	for {
 		timer := time.NewTimer(wait)
@@ -119,12 +126,12 @@
 		case <-ctx.Done():
 			timer.Stop()
 			return nil
-		case <-c.pollNow:
+		case <-now:
 		case <-timer.C:
 		}
 		timer.Stop()
-		c.poll(ctx)
-		wait = c.options.Rand.Jitter(c.tuning.poll, jitter)
+		f(ctx)
+		wait = c.options.Rand.Jitter(interval, jitter)
 	}
 }
 
@@ -185,31 +192,19 @@
 
 // announceLoop writes the own row soon after the start, at intervals and after changes of the own state.
 func (c *Control) announceLoop(ctx context.Context) error {
-	if !sleep(ctx, c.options.Rand.Jitter(c.tuning.seedRetry, 1)) {
-		return nil
-	}
-	for {
+	pause := c.tuning.seedRetry
+	return c.repeat(ctx, c.tuning.renew, c.renewNow, func(ctx context.Context) {
+		// Changes of the state that come during the pause share one write.
+		if !sleep(ctx, c.options.Rand.Jitter(pause, 1)) {
+			return
+		}
+		pause = c.tuning.gather
 		select {
 		case <-c.renewNow:
-			// The row that is written next has this change.
 		default:
 		}
 		c.writeRow(ctx)
-		wait := c.options.Rand.Jitter(c.tuning.renew, jitter)
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return nil
-		case <-c.renewNow:
-			timer.Stop()
-			if !sleep(ctx, c.options.Rand.Jitter(c.tuning.gather, 1)) {
-				return nil
-			}
-		case <-timer.C:
-		}
-		timer.Stop()
-	}
+	})
 }
 
 func (c *Control) writeRow(ctx context.Context) {
@@ -263,6 +258,9 @@
 			// A table with a lower revision was set up anew.
 			since = 0
 		default:
+			if since == 0 {
+				c.deleteLapsed(ctx, rows)
+			}
 			since = revision
 			listed = c.now()
 			c.takeRows(rows)
@@ -283,6 +281,24 @@
 	return c.now().Sub(listed) >= c.tuning.listRare
 }
 
+// deleteLapsed removes a few rows of nodes that ended without notice long ago, which nobody else would remove.
+func (c *Control) deleteLapsed(ctx context.Context, rows []platform.Row) {
+	var writes []platform.Write
+	for _, row := range rows {
+		if !row.Deleted && row.Age() > lapsedLeases*c.tuning.lease && len(writes) < lapsedRows {
+			writes = append(writes, platform.Write{Key: row.Key, Delete: true, IfVersion: kernel.Some(row.Version)})
+		}
+	}
+	if len(writes) == 0 {
+		return
+	}
+	_, err := c.store.Transact(ctx, platform.MembersTable, writes)
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		c.noteStore("delete-lapsed", err)
+	}
+}
+
 func (c *Control) takeRows(rows []platform.Row) {
 	c.mu.Lock()
 	for _, row := range rows {
--- a/control/control.go
+++ b/control/control.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -78,6 +79,9 @@
 	pending map[string]*peer
 	crashes map[*peer][]quarantine.Report
 	seen    seen[quarantine.Report]
+	// recent holds the latest crash reports for peers that connect later, because a flood misses a node whose
+	// connections are just being replaced.
+	recent []recentCrash
 	// synced means that a peer has answered a digest, so that the view is not this node's alone.
 	synced     bool
 	refutedAt  time.Time
@@ -95,7 +99,7 @@
 // Start listens, joins by seeds and store, and keeps running until Stop or the end of ctx.
 func Start(ctx context.Context, o Options) (*Control, error) {
 	t := defaultTuning()
-	t.tls = o.Keyring
+	t.tls = nodesOnly{o.Keyring}
 	return start(ctx, o, t)
 }
 
@@ -181,6 +185,10 @@
 		_, _ = rand.Read(id[:])
 		self.ID = hex.EncodeToString(id[:])
 	}
+	if at, err := netip.ParseAddrPort(self.Control); err != nil || at.Addr().IsUnspecified() {
+		return fmt.Errorf("other nodes cannot reach control address %q: write this instance's own one, as in 10.0.0.1:7300",
+			self.Control)
+	}
 	if !self.Valid() {
 		return errors.New("the own announcement has a field that is too long: shorten the names and addresses in the settings")
 	}
@@ -245,7 +253,7 @@
 	defer c.mu.Unlock()
 	for _, r := range reports {
 		if c.seen.add(r) {
-			c.crashes[nil] = append(c.crashes[nil], r)
+			c.queueCrash(nil, r)
 		}
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -4,10 +4,16 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/require"
 
+	"lovagelane/event"
 	"lovagelane/inventory"
+	"lovagelane/keys"
+	"lovagelane/membership"
+	"lovagelane/platform"
 	"lovagelane/quarantine"
 	"lovagelane/rollout"
 )
@@ -75,6 +81,31 @@
 	require.Equal(t, []uint64{2}, restarted.inForceVersions(), "an older version was in force first")
 }
 
+// Guards against a store that never answers and holds up joining, the spread of a configuration, or a stop.
+func TestHangingStoreBlocksNothing(t *testing.T) {
+	store := newMemoryStore()
+	applyConfig(t, store, 0)
+	nodes := []*node{startNode(t, place{id: "a", region: "rn", store: store})}
+	eventually(t, "the first one has the configuration", allRun(nodes, 1))
+	for _, id := range []string{"b", "c", "d"} {
+		nodes = append(nodes, startNode(t, place{
+			id: id, region: "rn", seeds: []string{nodes[0].Address()}, store: hangingStore{store},
+		}))
+	}
+	eventually(t, "everyone sees everyone", allSee(nodes, 4))
+	eventually(t, "version 1 in force everywhere", allRun(nodes, 1))
+	require.NoError(t, nodes[3].Stop())
+	eventually(t, "the stopped one has left", allSee(nodes[:3], 3))
+}
+
+// Guards against two groups of nodes that started apart and never find each other while the store is down.
+func TestGroupsFindEachOtherBySeeds(t *testing.T) {
+	left := startRegion(t, 3)
+	right := startNode(t, place{id: "x", region: "rn"})
+	bridge := startNode(t, place{id: "y", region: "rn", seeds: []string{right.Address(), left[0].Address()}})
+	eventually(t, "everyone sees everyone", allSee(append(left, right, bridge), 5))
+}
+
 // Guards against crash reports that are lost, repeated or sent back to the node that reported.
 func TestCrashReportsReachEveryNodeOnce(t *testing.T) {
 	nodes := startNodes(t, 6, nil)
@@ -104,4 +135,91 @@
 		require.Equal(t, []quarantine.Report{report, later}, n.crashReports())
 	}
 	require.Empty(t, nodes[0].crashReports())
+
+	late := startNode(t, place{id: "late", region: "rn", seeds: []string{nodes[0].Address()}})
+	eventually(t, "a node that joins later has both", func() bool { return len(late.crashReports()) == 2 })
+}
+
+// Guards against rows of dead nodes that are counted on or stay for good, and against a leave that keeps its row.
+func TestRowsOfDeadNodes(t *testing.T) {
+	store := newMemoryStore()
+	for key, age := range map[string]time.Duration{"old": 2 * time.Hour, "lapsed": 3 * time.Minute, "fresh": time.Second} {
+		value := fmt.Sprintf(`{"member":{"id":%q,"counter":1,"control":%q,"state":"serving"},"lease-ms":120000}`, key, key)
+		_, err := store.Transact(t.Context(), platform.MembersTable, []platform.Write{{Key: key, Value: value}})
+		require.NoError(t, err)
+		row := store.rows[platform.MembersTable][key]
+		row.AgeMillis = age.Milliseconds()
+		store.rows[platform.MembersTable][key] = row
+	}
+	n := startNode(t, place{id: "a", region: "rn", store: store})
+	exists := func(key string) bool {
+		_, ok, err := store.Row(t.Context(), platform.MembersTable, key)
+		return ok && err == nil
+	}
+	eventually(t, "the old row is deleted and the own one written", func() bool { return !exists("old") && exists("a") })
+	require.True(t, exists("lapsed") && exists("fresh"))
+	eventually(t, "the fresh row is a member", func() bool { return len(n.Members()) == 1 })
+	require.Equal(t, "fresh", n.Members()[0].ID)
+	require.NoError(t, n.Stop())
+	require.False(t, exists("a"))
+}
+
+// Guards against TLS settings of the keyring that QUIC does not take, against intervals of operation that never join, and
+// against an operator's key that is taken for a node's.
+func TestStartJoinsWithTheKeyring(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, keys.Issue(dir))
+	keyring, err := keys.Load(keys.PathsIn(dir, keys.RoleNode))
+	require.NoError(t, err)
+	metrics := event.NewMetrics()
+	var seeds []string
+	var nodes []*node
+	for range 2 {
+		c, err := Start(t.Context(), Options{Listen: "127.0.0.1:0", Seeds: seeds, Keyring: keyring, Metrics: metrics})
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.abort() })
+		nodes = append(nodes, &node{Control: c})
+		seeds = []string{c.Address()}
+	}
+	eventually(t, "both see each other", allSee(nodes, 2))
+	eventually(t, "bytes are counted", func() bool {
+		return metrics.Counter("control-bytes-sent") > 0 && metrics.Counter("control-bytes-received") > 0
+	})
+
+	operator, err := keys.Load(keys.PathsIn(dir, keys.RoleOperator))
+	require.NoError(t, err)
+	conn, err := quic.DialAddr(t.Context(), seeds[0], operator.Client(protocol), &quic.Config{})
+	if err == nil {
+		// The client's handshake ends before the server has checked its certificate.
+		<-conn.Context().Done()
+		err = context.Cause(conn.Context())
+	}
+	var refused *quic.TransportError
+	require.ErrorAs(t, err, &refused)
+	require.True(t, refused.ErrorCode.IsCryptoError(), "%v", err)
+}
+
+// Guards against rings that split the nodes into groups, when some announcements are older than the first configuration.
+func TestRingsDoNotDependOnAnnouncedRegions(t *testing.T) {
+	cfg, problems := inventory.Parse([]inventory.File{{Name: "inventory.ini", Text: fmt.Sprintf(testInventory, 1)},
+		{Name: "rules.ini", Text: testRules}})
+	require.Empty(t, problems)
+	c := &Control{held: held{config: cfg}}
+	var members []membership.Member
+	for i := range 6 {
+		m := membership.Member{ID: fmt.Sprint(i), AvailabilityZone: "rn-1", Region: []string{"", "rn"}[i%2]}
+		members = append(members, m)
+	}
+	rings := membership.NewRings(c.placed(members))
+	reached := map[string]bool{"0": true}
+	for range members {
+		for _, m := range c.placed(members) {
+			for _, next := range rings.Watched(m) {
+				if reached[m.ID] || reached[next.ID] {
+					reached[m.ID], reached[next.ID] = true, true
+				}
+			}
+		}
+	}
+	require.Len(t, reached, len(members))
 }
--- a/control/watch.go
+++ b/control/watch.go
@@ -118,6 +118,7 @@
 	}
 	wanted := map[string]membership.Member{}
 	ring := map[string]bool{}
+	self = c.placed([]membership.Member{self})[0]
 	for _, m := range c.rings.Watched(self) {
 		wanted[m.ID], ring[m.ID] = m, true
 	}
--- a/node/carry.go
+++ b/node/carry.go
@@ -42,7 +42,8 @@
 	cancelled <-chan struct{}
 
 	// What the attempts brought back.
-	level call.Priority
+	level    call.Priority
+	attempts int
 }
 
 // reply is the end of a carried call: answered, kept or refused.
@@ -85,14 +86,18 @@
 		}
 		result := t.wait()
 		n.metrics.Add("attempts", int64(t.launched), out.op.Service)
-		if _, ok := result.(refused); !ok || !n.mayRetry(out, result.(refused).refusal) {
+		r, ok := result.(refused)
+		if !ok {
 			return result
 		}
-		if result.(refused).refusal.Reason != call.ReasonFenced {
+		last = worse(last, result)
+		if !n.mayRetry(out, r.refusal) {
+			return last
+		}
+		if r.refusal.Reason != call.ReasonFenced {
 			// After a silent connection the backend server itself is as good as before.
 			excluded = t.excluded
 		}
-		last = result
 		n.metrics.Add("retries", 1, out.op.Service)
 	}
 }
@@ -185,7 +190,7 @@
 	choice, token := t.chooser.choose(now, balance.Query{Priority: t.out.priority, Exclude: t.excluded})
 	chosen, ok := choice.(balance.Chosen)
 	if !ok {
-		return choice.(balance.None).Reason
+		return t.noChoice(choice.(balance.None))
 	}
 	address, ok := n.callsAddress(chosen.ID)
 	if !ok {
@@ -207,10 +212,20 @@
 	t.attempts = append(t.attempts, l)
 	t.excluded = t.excluded.With(chosen.ID)
 	t.launched++
+	t.out.attempts++
 	t.pending++
 	return call.ReasonNone
 }
 
+// noChoice passes the level by which backend servers refuse the priority on to where the request entered, as if one of
+// them had been asked.
+func (t *try) noChoice(none balance.None) call.Reason {
+	if none.Reason == call.ReasonShed {
+		t.out.level = call.MoreImportant(t.out.level, none.Level)
+	}
+	return none.Reason
+}
+
 func (n *Node) callsAddress(id string) (string, bool) {
 	if id == n.self.ID {
 		return n.self.Calls, true
--- a/node/owned.go
+++ b/node/owned.go
@@ -25,8 +25,9 @@
 	changed chan struct{}
 }
 
-func (o *owned) init(secret []byte, member, address string, started time.Time) {
-	o.issuer = ticket.NewIssuer(secret, member, address, started)
+func (o *owned) init(keys [][]byte, member, address string, started time.Time) {
+	o.issuer = ticket.NewIssuer(keys[0], member, address, started)
+	o.issuer.SetKeys(keys)
 	o.owner = ticket.NewOwner(member, started)
 	o.changed = make(chan struct{})
 }
@@ -62,7 +63,12 @@
 	t, err := n.owned.issuer.Parse(token)
 	if err != nil {
 		n.log.Warn("ticket-invalid", "caller", out.caller, "error", err)
-		n.refuseCaller(ctx, &out.op, refusal(call.ReasonTicketInvalid, call.OutcomeNotRun, out.op.Line.String()))
+		r := refusal(call.ReasonTicketInvalid, call.OutcomeNotRun, out.op.Line.String())
+		if ticket.ErrForged.Has(err) {
+			// Nodes have different keys while the ticket key is rotated, so the request of this ticket may have run.
+			r.Outcome, r.Remedy = call.OutcomeUnknown, remedies[call.ReasonTicketExpired]
+		}
+		n.refuseCaller(ctx, &out.op, r)
 		return
 	}
 	if t.Owner != n.self.ID {
@@ -112,7 +118,7 @@
 func (n *Node) runOwned(ctx *fasthttp.RequestCtx, out *outbound, t ticket.Ticket) {
 	// All sends with one ticket are one request and get one value.
 	out.requestID = t.Owner[:min(8, len(t.Owner))] + "-" + strconv.FormatUint(t.Seq, 10)
-	out.priority.Value = out.priority.Value&call.FairValues | baseValue(n.secret, out.requestID)
+	out.priority.Value = out.priority.Value&call.FairValues | baseValue(n.ticketKeys[0], out.requestID)
 	timer := time.NewTimer(out.deadline.Sub(n.clock.Now()))
 	defer timer.Stop()
 	verdict, changed := n.owned.begin(n.clock.Now(), t, out)
@@ -139,9 +145,14 @@
 	}
 }
 
-// startOwned carries a request that the owner started and keeps its answer for resends. A caller that disconnects does
-// not cancel it, because its resend asks for the answer.
+// startOwned carries a request that the owner started and keeps its answer for resends. A caller that disconnects later
+// does not cancel it, because its resend asks for the answer.
 func (n *Node) startOwned(ctx *fasthttp.RequestCtx, out *outbound, t ticket.Ticket, allowance int) {
+	if abandoned(ctx.Conn()) {
+		n.owned.finish(n.clock.Now(), t.Seq, ticket.Answer{Outcome: call.OutcomeNotRun, Reason: call.ReasonCancelled}, allowance)
+		n.refuseCaller(ctx, &out.op, refusal(call.ReasonCancelled, call.OutcomeNotRun, out.op.Line.String()))
+		return
+	}
 	out.account = n.requests.owned(allowance)
 	if !n.pressures.admit(n.clock.Now(), out.op.Name, out.priority) {
 		n.owned.finish(n.clock.Now(), t.Seq, ticket.Answer{Outcome: call.OutcomeNotRun, Reason: call.ReasonShed}, allowance)
