--- a/control/config.go
+++ b/control/config.go
@@ -190,9 +190,21 @@
 	LeaseMillis int64 `json:"lease-ms"`
 }
 
-// announceLoop writes the own row at intervals and after each change of the own state.
+// announceLoop writes the own row soon after the start, at intervals and after changes of the own state.
 func (c *Control) announceLoop(ctx context.Context) error {
-	return c.repeat(ctx, c.tuning.renew, c.renewNow, c.writeRow)
+	pause := c.tuning.seedRetry
+	return c.repeat(ctx, c.tuning.renew, c.renewNow, func(ctx context.Context) {
+		// Changes of the state that come during the pause share one write.
+		if !sleep(ctx, c.options.Rand.Jitter(pause, 1)) {
+			return
+		}
+		pause = c.tuning.gather
+		select {
+		case <-c.renewNow:
+		default:
+		}
+		c.writeRow(ctx)
+	})
 }
 
 func (c *Control) writeRow(ctx context.Context) {
