--- a/node/carry.go
+++ b/node/carry.go
@@ -84,14 +84,18 @@
 		}
 		result := t.wait()
 		n.metrics.Add("attempts", int64(t.launched), out.op.Service)
-		if _, ok := result.(refused); !ok || !n.mayRetry(out, result.(refused).refusal) {
+		r, ok := result.(refused)
+		if !ok {
 			return result
 		}
-		if result.(refused).refusal.Reason != call.ReasonFenced {
+		last = worse(last, result)
+		if !n.mayRetry(out, r.refusal) {
+			return last
+		}
+		if r.refusal.Reason != call.ReasonFenced {
 			// After a silent connection the backend server itself is as good as before.
 			excluded = t.excluded
 		}
-		last = result
 		n.metrics.Add("retries", 1, out.op.Service)
 	}
 }
