--- a/failure/crash_test.go
+++ b/failure/crash_test.go
@@ -55,6 +55,7 @@
 		if a.reason == "quarantined" {
 			stopped++
 			require.Equal(t, http.StatusUnprocessableEntity, a.status)
+			require.Equal(t, "not-run", a.outcome)
 		}
 		if a.outcome == "not-run" {
 			require.Equal(t, before, poison(), "a send was told not run (%s) and ran", a.reason)
