Spread crash reports at once, and hold the answer to a crashed call

Cause: reports of a crashing request were flooded in batches of 100 ms, and a resend through another node came within 20 ms, so a request crashed 4 or 5 backend servers where 2 are allowed. Change: crash reports are sent at once; the answer to a call that crashed its backend server waits 150 ms, the time in which a report reaches all nodes. Conclusion: only a crashed call pays the 150 ms.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Everything here needs only Go and make.
 GO ?= go
 BIN := bin
-# Exactly the tests that KNOWN-RED.txt lists.
-KNOWN_RED := ^(TestCrashingRequestIsStoppedOnAllNodes|TestStoreOutage)$$
+# Exactly the tests that KNOWN-RED.txt lists, as in ^(TestOne|TestTwo)$$; ^$$ skips none.
+KNOWN_RED := ^$$
 
 .PHONY: build format lint test demo bench clean
 
--- a/control/control.go
+++ b/control/control.go
@@ -256,6 +256,7 @@
 			c.queueCrash(nil, r)
 		}
 	}
+	c.flushCrashes()
 }
 
 // PollStore looks for a new configuration now instead of at the next poll.
--- a/control/handle.go
+++ b/control/handle.go
@@ -221,6 +221,7 @@
 			c.queueCrash(p, r)
 		}
 	}
+	c.flushCrashes()
 	c.mu.Unlock()
 	if c.options.OnCrash == nil {
 		return
@@ -230,13 +231,12 @@
 	}
 }
 
-// flush sends the announcements, doubts and crash reports of the last interval; the caller holds the lock.
+// flush sends the announcements and doubts of the last interval; the caller holds the lock.
 func (c *Control) flush() {
 	for p := range c.peers {
 		c.flushTo(p)
 	}
 	clear(c.pending)
-	clear(c.crashes)
 }
 
 func (c *Control) flushTo(p *peer) {
@@ -253,19 +253,27 @@
 			members = append(members, m)
 		}
 	}
-	var reports []quarantine.Report
-	for origin, list := range c.crashes {
-		if origin != p {
-			reports = append(reports, list...)
-		}
-	}
 	for _, list := range chunks(members, membersPerFrame) {
 		p.send(announce{Members: list})
 	}
 	for _, list := range chunks(marks, marksPerFrame) {
 		p.send(suspect{Marks: list})
 	}
-	for _, list := range chunks(reports, reportsPerFrame) {
-		p.send(crash{Reports: list})
+}
+
+// flushCrashes sends new crash reports at once, since a caller may send the request again to another node within
+// milliseconds; the caller holds the lock.
+func (c *Control) flushCrashes() {
+	for p := range c.peers {
+		var reports []quarantine.Report
+		for origin, list := range c.crashes {
+			if origin != p {
+				reports = append(reports, list...)
+			}
+		}
+		for _, list := range chunks(reports, reportsPerFrame) {
+			p.send(crash{Reports: list})
+		}
 	}
+	clear(c.crashes)
 }
--- a/node/serving.go
+++ b/node/serving.go
@@ -15,6 +15,10 @@
 	"lovagelane/ticket"
 )
 
+// crashSpread is the time in which a crash report reaches all nodes: about 7 hops within a region, one of 30 ms between
+// regions, and the processing on the way.
+const crashSpread = 150 * time.Millisecond
+
 // lovagelanePath is the prefix of the paths that nodes answer themselves.
 var lovagelanePath = []byte("/lovagelane/")
 
@@ -243,6 +247,7 @@
 		n.noteCrash()
 		if !n.backend.isUp() {
 			f.learn(f.level, max(int(f.meta.Crashes)+1, n.poison.crashes(n.clock.Now(), f.meta.Digest)))
+			n.awaitSpread(f.deadline)
 		}
 	}
 	end()
@@ -252,6 +257,14 @@
 	n.answerRefusal(ctx, f, f.meta, r)
 }
 
+// awaitSpread holds the answer to a call that crashed the backend server until the report of it has reached the other
+// nodes, so that neither a retry nor a resend meets a node that has not heard of the crash.
+func (n *Node) awaitSpread(deadline time.Time) {
+	timer := time.NewTimer(min(crashSpread, deadline.Sub(n.clock.Now())))
+	defer timer.Stop()
+	<-timer.C
+}
+
 // answerFlight passes the backend server's answer on; the slot is freed when the whole answer has been read.
 func (n *Node) answerFlight(ctx *fasthttp.RequestCtx, f *flight, resp *fasthttp.Response, started time.Time, end func()) {
 	b, whole, err := takeBody(resp)
