--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -1,4 +1,3 @@
-// Command bench measures the targets of the design against baselines, on a deployment of real processes on loopback.
 package main
 
 import (
--- /dev/null
+++ b/cmd/lovagelane/doc.go
@@ -0,0 +1,2 @@
+// Command lovagelane is the node and the operator's commands.
+package main
--- a/cmd/lovagelane/main.go
+++ b/cmd/lovagelane/main.go
@@ -1,4 +1,3 @@
-// Command lovagelane is the node and the operator's commands.
 package main
 
 import (
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,3 @@
-// Command standin runs the stand-ins that tests, demo and benchmarks use in place of outside systems.
 package main
 
 import (
