Show that a drain waits for calls in flight

Cause: a node that did not wait passed both drain tests, TestDrainAndPlannedStop even with work of 300 ms, since the grace period of 1 s covers it. Change: TestDrainCutsOffNothing requires that the drain has not ended while a call is held open after the grace period.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -108,6 +109,8 @@
 func TestDrainCutsOffNothing(t *testing.T) {
 	w := newWorld(t, chainInventory, chainRules)
 	release := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(release) })
+	defer finish()
 	a := w.station("nursery", func(ctx *fasthttp.RequestCtx, _ func(string, string, string) *fasthttp.Response) {
 		<-release
 		ctx.SetBodyString("done")
@@ -122,13 +125,25 @@
 	w.eventually("runs", func() bool { return a.ran.Load() == 1 })
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	g.Go(func() error { return a.Drain(ctx) })
+	var drained atomic.Bool
+	g.Go(func() error {
+		err := a.Drain(ctx)
+		drained.Store(true)
+		return err
+	})
 	w.eventually("no new work", func() bool {
 		r := w.send(entry.Addresses().Callers, "GET", "/nursery/map?new", "")
 		return reason(r) == "no-backend-server" && outcome(r) == "not-run"
 	})
 	require.EqualValues(t, 1, a.ran.Load())
-	close(release)
+	w.eventually("the grace period is over", func() bool {
+		return reason(w.send(a.Addresses().Callers, "GET", "/nursery/map", "")) == "draining"
+	})
+	for range 10 {
+		w.send(a.Addresses().Callers, "GET", "/nursery/map", "")
+	}
+	require.False(t, drained.Load(), "the drain ended while a call was in flight")
+	finish()
 	require.NoError(t, g.Wait())
 	require.Equal(t, "done", string(answer.Body()))
 }
