Open the fleet in one place, and drop a check that cannot fail

Cause: report and status checked their flags, opened the fleet and listed its members in two copies; stateOf compared an attempt with the key it had been looked up by, and had one answer in two branches. Change: reach.open for both commands; stateOf has one branch for it. Result: lint is clean, tests of command and node pass; no behaviour changes. Conclusion: the other pairs that duplicates lists are tests, or look alike without sharing logic, except the small inventories of demo and bench.

--- a/command/report.go
+++ b/command/report.go
@@ -31,17 +31,10 @@
 }
 
 func report(env *Env, r *reach, page string) error {
-	if err := r.check(); err != nil {
-		return err
-	}
 	ctx := context.Background()
-	fl, err := fleet.Open(r.keys)
-	if err != nil {
-		return problem(err)
-	}
-	members, err := fl.Members(ctx, r.store, r.node)
+	fl, members, err := r.open(ctx)
 	if err != nil {
-		return Exit{Code: CodeNotAccepted, Err: err}
+		return err
 	}
 	var answers []burn.Answer
 	for _, a := range fleet.AskAll[burn.Snapshot](ctx, fl, members, fleet.PathBurn) {
--- a/command/status.go
+++ b/command/status.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"lovagelane/fleet"
+	"lovagelane/membership"
 	"lovagelane/node"
 )
 
@@ -36,6 +37,22 @@
 	return nil
 }
 
+// open checks the flags and returns the fleet with its members.
+func (r *reach) open(ctx context.Context) (*fleet.Fleet, []membership.Member, error) {
+	if err := r.check(); err != nil {
+		return nil, nil, err
+	}
+	fl, err := fleet.Open(r.keys)
+	if err != nil {
+		return nil, nil, problem(err)
+	}
+	members, err := fl.Members(ctx, r.store, r.node)
+	if err != nil {
+		return nil, nil, Exit{Code: CodeNotAccepted, Err: err}
+	}
+	return fl, members, nil
+}
+
 func addStatus(app *kingpin.Application, env *Env) {
 	cmd := app.Command("status", "Show services, backend servers, places, versions, and who is draining or suspected.").
 		HelpLong(`Examples:
@@ -64,17 +81,10 @@
 }
 
 func status(env *Env, r *reach, format string) error {
-	if err := r.check(); err != nil {
-		return err
-	}
 	ctx := context.Background()
-	fl, err := fleet.Open(r.keys)
+	fl, members, err := r.open(ctx)
 	if err != nil {
-		return problem(err)
-	}
-	members, err := fl.Members(ctx, r.store, r.node)
-	if err != nil {
-		return Exit{Code: CodeNotAccepted, Err: err}
+		return err
 	}
 	suspects := map[string]int{}
 	records := []nodeRecord{}
--- a/node/state.go
+++ b/node/state.go
@@ -86,14 +86,12 @@
 
 // stateOf answers a question about an attempt at the own backend server.
 func (n *Node) stateOf(q attemptQuestion) attemptState {
-	if f, ok := n.flights.withAttempt(q.Attempt); ok && f.meta.Attempt == q.Attempt {
+	if _, ok := n.flights.withAttempt(q.Attempt); ok {
 		return attemptState{Version: call.MetaVersion, Running: true}
 	}
-	if q.Attempt.Receiver != n.self.ID {
-		return attemptState{Version: call.MetaVersion, Outcome: call.OutcomeUnknown}
-	}
-	if !q.NonIdempotent {
-		// Ended idempotent attempts are not recorded: this one may have run, or may still arrive.
+	if q.Attempt.Receiver != n.self.ID || !q.NonIdempotent {
+		// Nothing is recorded of another incarnation, nor of idempotent attempts that ended: this one may have run, or may
+		// still arrive.
 		return attemptState{Version: call.MetaVersion, Outcome: call.OutcomeUnknown}
 	}
 	s := n.attempts.fence(n.clock.Now(), q.Attempt)
