Rename package platform to tablestore

The folder platform is to hold the adapter to the operators' platform, so the client of the product's own store protocol gets a name of its own.

--- a/command/apply.go
+++ b/command/apply.go
@@ -12,8 +12,8 @@
 	"lovagelane/fleet"
 	"lovagelane/inventory"
 	"lovagelane/membership"
-	"lovagelane/platform"
 	"lovagelane/rollout"
+	"lovagelane/tablestore"
 )
 
 const (
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	store, err := platform.NewClient(f.store, 0)
+	store, err := tablestore.NewClient(f.store, 0)
 	if err != nil {
 		return problem(err)
 	}
@@ -108,7 +108,7 @@
 }
 
 // compare returns the version to build on and what the files change against the accepted one.
-func compare(ctx context.Context, store platform.Store, cfg *inventory.Config, base int64) (uint64, []inventory.Change, error) {
+func compare(ctx context.Context, store tablestore.Store, cfg *inventory.Config, base int64) (uint64, []inventory.Change, error) {
 	old, version, err := acceptedConfig(ctx, store)
 	if err != nil && !errors.Is(err, errTextMissing) {
 		return 0, nil, fmt.Errorf("not accepted, nothing changed: %w", err)
@@ -121,7 +121,7 @@
 }
 
 // acceptedConfig returns the accepted configuration and its version, or nil and 0 when the store holds none.
-func acceptedConfig(ctx context.Context, store platform.Store) (*inventory.Config, uint64, error) {
+func acceptedConfig(ctx context.Context, store tablestore.Store) (*inventory.Config, uint64, error) {
 	current, ok, err := rollout.Current(ctx, store)
 	if err != nil || !ok {
 		return nil, 0, err
@@ -134,7 +134,7 @@
 var errTextMissing = errors.New("the store has lost the text")
 
 // readText returns an accepted configuration, or nil when this release finds problems in it.
-func readText(ctx context.Context, store platform.Store, a rollout.Accepted) (*inventory.Config, error) {
+func readText(ctx context.Context, store tablestore.Store, a rollout.Accepted) (*inventory.Config, error) {
 	text, found, err := store.Object(ctx, a.Hash)
 	if err != nil {
 		return nil, fmt.Errorf("the text of version %d cannot be read: %w", a.Version, err)
@@ -151,7 +151,7 @@
 }
 
 // notAccepted adds to a stale base who changed what since then.
-func notAccepted(ctx context.Context, store platform.Store, err error) error {
+func notAccepted(ctx context.Context, store tablestore.Store, err error) error {
 	var stale *rollout.StaleError
 	if !errors.As(err, &stale) {
 		return err
@@ -171,7 +171,7 @@
 }
 
 // changesOf returns what an accepted configuration changed against the version before it.
-func changesOf(ctx context.Context, store platform.Store, a rollout.Accepted) ([]inventory.Change, error) {
+func changesOf(ctx context.Context, store tablestore.Store, a rollout.Accepted) ([]inventory.Change, error) {
 	var old *inventory.Config
 	before, found, err := rollout.Version(ctx, store, a.Version-1)
 	if err != nil {
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -14,10 +14,10 @@
 
 	"lovagelane/command"
 	"lovagelane/kernel"
-	"lovagelane/platform"
 	"lovagelane/rollout"
 	"lovagelane/settings"
 	"lovagelane/standin"
+	"lovagelane/tablestore"
 )
 
 const (
@@ -194,12 +194,12 @@
 	group := kernel.NewGroup(context.Background())
 	standin.NewPlatform(kernel.SystemClock{}).Serve(group, ln)
 	t.Cleanup(func() { _ = group.Stop() })
-	client, err := platform.NewClient("http://"+ln.Addr().String(), 0)
+	client, err := tablestore.NewClient("http://"+ln.Addr().String(), 0)
 	require.NoError(t, err)
 	t.Cleanup(client.Close)
 	row, err := json.Marshal(rollout.Accepted{Version: 1, Hash: strings.Repeat("a", 64), ApplyID: "x", By: "ana"})
 	require.NoError(t, err)
-	_, err = client.Transact(t.Context(), platform.ConfigTable, []platform.Write{{Key: platform.CurrentKey, Value: string(row)}})
+	_, err = client.Transact(t.Context(), tablestore.ConfigTable, []tablestore.Write{{Key: tablestore.CurrentKey, Value: string(row)}})
 	require.NoError(t, err)
 
 	store, files := "--store=http://"+ln.Addr().String(), dir(t, oldInventory, rules)
--- a/command/plan.go
+++ b/command/plan.go
@@ -8,7 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"lovagelane/inventory"
-	"lovagelane/platform"
+	"lovagelane/tablestore"
 )
 
 func init() { Commands.Register("plan", addPlan) }
@@ -55,7 +55,7 @@
 }
 
 func planAgainstStore(env *Env, url string, next *inventory.Config, format string) error {
-	store, err := platform.NewClient(url, 0)
+	store, err := tablestore.NewClient(url, 0)
 	if err != nil {
 		return problem(err)
 	}
--- a/control/config.go
+++ b/control/config.go
@@ -9,8 +9,8 @@
 	"lovagelane/inventory"
 	"lovagelane/kernel"
 	"lovagelane/membership"
-	"lovagelane/platform"
 	"lovagelane/rollout"
+	"lovagelane/tablestore"
 )
 
 // held is a configuration whose text this node has.
@@ -219,7 +219,7 @@
 		c.log.Error("announcement-not-encoded", "error", err)
 		return
 	}
-	_, err = c.store.Transact(ctx, platform.MembersTable, []platform.Write{{Key: self.ID, Value: string(value)}})
+	_, err = c.store.Transact(ctx, tablestore.MembersTable, []tablestore.Write{{Key: self.ID, Value: string(value)}})
 	c.noteStore("announce", err)
 }
 
@@ -230,7 +230,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.group.Context(), c.tuning.stopWait)
 	defer cancel()
-	_, err := c.store.Transact(ctx, platform.MembersTable, []platform.Write{{Key: c.selfID(), Delete: true}})
+	_, err := c.store.Transact(ctx, tablestore.MembersTable, []tablestore.Write{{Key: c.selfID(), Delete: true}})
 	c.noteStore("withdraw", err)
 }
 
@@ -250,7 +250,7 @@
 		if !c.listDue(listed) {
 			continue
 		}
-		revision, rows, err := c.store.Rows(ctx, platform.MembersTable, since)
+		revision, rows, err := c.store.Rows(ctx, tablestore.MembersTable, since)
 		c.noteStore("list", err)
 		switch {
 		case err != nil:
@@ -282,24 +282,24 @@
 }
 
 // deleteLapsed removes a few rows of nodes that ended without notice long ago, which nobody else would remove.
-func (c *Control) deleteLapsed(ctx context.Context, rows []platform.Row) {
-	var writes []platform.Write
+func (c *Control) deleteLapsed(ctx context.Context, rows []tablestore.Row) {
+	var writes []tablestore.Write
 	for _, row := range rows {
 		if !row.Deleted && row.Age() > lapsedLeases*c.tuning.lease && len(writes) < lapsedRows {
-			writes = append(writes, platform.Write{Key: row.Key, Delete: true, IfVersion: kernel.Some(row.Version)})
+			writes = append(writes, tablestore.Write{Key: row.Key, Delete: true, IfVersion: kernel.Some(row.Version)})
 		}
 	}
 	if len(writes) == 0 {
 		return
 	}
-	_, err := c.store.Transact(ctx, platform.MembersTable, writes)
-	var conflict *platform.ConflictError
+	_, err := c.store.Transact(ctx, tablestore.MembersTable, writes)
+	var conflict *tablestore.ConflictError
 	if !errors.As(err, &conflict) {
 		c.noteStore("delete-lapsed", err)
 	}
 }
 
-func (c *Control) takeRows(rows []platform.Row) {
+func (c *Control) takeRows(rows []tablestore.Row) {
 	c.mu.Lock()
 	for _, row := range rows {
 		var a announcement
--- a/control/control.go
+++ b/control/control.go
@@ -21,9 +21,9 @@
 	"lovagelane/kernel"
 	"lovagelane/keys"
 	"lovagelane/membership"
-	"lovagelane/platform"
 	"lovagelane/quarantine"
 	"lovagelane/rollout"
+	"lovagelane/tablestore"
 )
 
 // Options are what a Control needs from its node.
@@ -51,7 +51,7 @@
 	tuning    tuning
 	log       *event.Log
 	metrics   *event.Metrics
-	store     platform.Store
+	store     tablestore.Store
 	closer    func()
 	group     *kernel.Group
 	udp       net.PacketConn
@@ -148,7 +148,7 @@
 		c.store = c.tuning.store
 		return nil
 	}
-	client, err := platform.NewClient(c.options.Store, c.tuning.storeWait)
+	client, err := tablestore.NewClient(c.options.Store, c.tuning.storeWait)
 	if err != nil {
 		return err
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -13,9 +13,9 @@
 	"lovagelane/inventory"
 	"lovagelane/keys"
 	"lovagelane/membership"
-	"lovagelane/platform"
 	"lovagelane/quarantine"
 	"lovagelane/rollout"
+	"lovagelane/tablestore"
 )
 
 const (
@@ -145,15 +145,15 @@
 	store := newMemoryStore()
 	for key, age := range map[string]time.Duration{"old": 2 * time.Hour, "lapsed": 3 * time.Minute, "fresh": time.Second} {
 		value := fmt.Sprintf(`{"member":{"id":%q,"counter":1,"control":%q,"state":"serving"},"lease-ms":120000}`, key, key)
-		_, err := store.Transact(t.Context(), platform.MembersTable, []platform.Write{{Key: key, Value: value}})
+		_, err := store.Transact(t.Context(), tablestore.MembersTable, []tablestore.Write{{Key: key, Value: value}})
 		require.NoError(t, err)
-		row := store.rows[platform.MembersTable][key]
+		row := store.rows[tablestore.MembersTable][key]
 		row.AgeMillis = age.Milliseconds()
-		store.rows[platform.MembersTable][key] = row
+		store.rows[tablestore.MembersTable][key] = row
 	}
 	n := startNode(t, place{id: "a", region: "rn", store: store})
 	exists := func(key string) bool {
-		_, ok, err := store.Row(t.Context(), platform.MembersTable, key)
+		_, ok, err := store.Row(t.Context(), tablestore.MembersTable, key)
 		return ok && err == nil
 	}
 	eventually(t, "the old row is deleted and the own one written", func() bool { return !exists("old") && exists("a") })
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -19,8 +19,8 @@
 	"lovagelane/inventory"
 	"lovagelane/kernel"
 	"lovagelane/membership"
-	"lovagelane/platform"
 	"lovagelane/quarantine"
+	"lovagelane/tablestore"
 )
 
 // testKeys is one self-signed certificate that both sides show and trust.
@@ -110,7 +110,7 @@
 type place struct {
 	id, region, listen, control string
 	seeds                       []string
-	store                       platform.Store
+	store                       tablestore.Store
 	maxInbound                  int
 }
 
@@ -152,7 +152,7 @@
 }
 
 // startNodes starts n nodes in two regions, where all join by the first two.
-func startNodes(t testing.TB, n int, store platform.Store) []*node {
+func startNodes(t testing.TB, n int, store tablestore.Store) []*node {
 	t.Helper()
 	var nodes []*node
 	var seeds []string
--- a/control/rings_test.go
+++ b/control/rings_test.go
@@ -12,8 +12,8 @@
 	"lovagelane/inventory"
 	"lovagelane/kernel"
 	"lovagelane/membership"
-	"lovagelane/platform"
 	"lovagelane/rollout"
+	"lovagelane/tablestore"
 )
 
 // Guards against groups of nodes that take their first configuration at the same time, see the others' announcements from
@@ -82,7 +82,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.abort() })
 	written := func() uint64 {
-		row, _, err := store.Row(context.Background(), platform.MembersTable, c.selfID())
+		row, _, err := store.Row(context.Background(), tablestore.MembersTable, c.selfID())
 		require.NoError(t, err)
 		return row.Version
 	}
@@ -93,7 +93,7 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	eventually(t, "the last change is written", func() bool {
-		row, _, err := store.Row(context.Background(), platform.MembersTable, c.selfID())
+		row, _, err := store.Row(context.Background(), tablestore.MembersTable, c.selfID())
 		require.NoError(t, err)
 		return strings.Contains(row.Value, fmt.Sprintf(`"counter":%d,`, typicalMember(1).Counter+changes))
 	})
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -12,10 +12,10 @@
 
 	"lovagelane/kernel"
 	"lovagelane/membership"
-	"lovagelane/platform"
 	"lovagelane/quarantine"
 	"lovagelane/rollout"
 	"lovagelane/standin"
+	"lovagelane/tablestore"
 )
 
 func typicalMember(i int) membership.Member {
@@ -79,7 +79,7 @@
 				t.tls = sharedKeys()
 				t.poll, t.renew, t.list = t.poll/faster, t.renew/faster, t.list/faster
 				if enabled {
-					t.store, err = platform.NewClient("http://"+ln.Addr().String(), t.storeWait)
+					t.store, err = tablestore.NewClient("http://"+ln.Addr().String(), t.storeWait)
 					require.NoError(b, err)
 				}
 				c, err := start(context.Background(), Options{Self: typicalMember(1), Listen: "127.0.0.1:0"}, t)
@@ -138,18 +138,18 @@
 			t.tls = sharedKeys()
 			c, err := start(context.Background(), Options{Self: typicalMember(0), Listen: "127.0.0.1:0"}, t)
 			require.NoError(b, err)
-			var rows []platform.Row
+			var rows []tablestore.Row
 			for i := range size {
 				m := typicalMember(i + 1)
 				m.Control = fmt.Sprintf("127.0.1.%d:%d", i%250+1, i+1)
 				value, err := json.Marshal(announcement{Member: m, LeaseMillis: 120000})
 				require.NoError(b, err)
-				rows = append(rows, platform.Row{Key: m.ID, Value: string(value), Version: 3000, Revision: 1_800_000, AgeMillis: 12345})
+				rows = append(rows, tablestore.Row{Key: m.ID, Value: string(value), Version: 3000, Revision: 1_800_000, AgeMillis: 12345})
 			}
 			body, err := json.Marshal(rows)
 			require.NoError(b, err)
 			for b.Loop() {
-				var read []platform.Row
+				var read []tablestore.Row
 				require.NoError(b, json.Unmarshal(body, &read))
 				c.takeRows(read)
 			}
--- a/control/store_test.go
+++ b/control/store_test.go
@@ -5,27 +5,27 @@
 	"errors"
 	"sync"
 
-	"lovagelane/platform"
+	"lovagelane/tablestore"
 )
 
-var errDown = &platform.UnavailableError{Cause: errors.New("switched off")}
+var errDown = &tablestore.UnavailableError{Cause: errors.New("switched off")}
 
 // hangingStore never answers within the life of a test.
 type hangingStore struct{ *memoryStore }
 
-func (hangingStore) Row(ctx context.Context, _, _ string) (platform.Row, bool, error) {
+func (hangingStore) Row(ctx context.Context, _, _ string) (tablestore.Row, bool, error) {
 	<-ctx.Done()
-	return platform.Row{}, false, errDown
+	return tablestore.Row{}, false, errDown
 }
 
-func (hangingStore) Rows(ctx context.Context, _ string, _ uint64) (uint64, []platform.Row, error) {
+func (hangingStore) Rows(ctx context.Context, _ string, _ uint64) (uint64, []tablestore.Row, error) {
 	<-ctx.Done()
 	return 0, nil, errDown
 }
 
-func (hangingStore) Transact(ctx context.Context, _ string, _ []platform.Write) (platform.Commit, error) {
+func (hangingStore) Transact(ctx context.Context, _ string, _ []tablestore.Write) (tablestore.Commit, error) {
 	<-ctx.Done()
-	return platform.Commit{}, errDown
+	return tablestore.Commit{}, errDown
 }
 
 // memoryStore is the platform in memory, with a switch for an outage.
@@ -33,13 +33,13 @@
 	mu       sync.Mutex
 	down     bool
 	revision map[string]uint64
-	rows     map[string]map[string]platform.Row
+	rows     map[string]map[string]tablestore.Row
 	objects  map[string][]byte
 }
 
 func newMemoryStore() *memoryStore {
 	return &memoryStore{
-		revision: map[string]uint64{}, rows: map[string]map[string]platform.Row{}, objects: map[string][]byte{},
+		revision: map[string]uint64{}, rows: map[string]map[string]tablestore.Row{}, objects: map[string][]byte{},
 	}
 }
 
@@ -58,23 +58,23 @@
 	return s.mu.Unlock, nil
 }
 
-func (s *memoryStore) Row(_ context.Context, table, key string) (platform.Row, bool, error) {
+func (s *memoryStore) Row(_ context.Context, table, key string) (tablestore.Row, bool, error) {
 	unlock, err := s.lock()
 	if err != nil {
-		return platform.Row{}, false, err
+		return tablestore.Row{}, false, err
 	}
 	defer unlock()
 	row, ok := s.rows[table][key]
 	return row, ok && !row.Deleted, nil
 }
 
-func (s *memoryStore) Rows(_ context.Context, table string, since uint64) (uint64, []platform.Row, error) {
+func (s *memoryStore) Rows(_ context.Context, table string, since uint64) (uint64, []tablestore.Row, error) {
 	unlock, err := s.lock()
 	if err != nil {
 		return 0, nil, err
 	}
 	defer unlock()
-	var rows []platform.Row
+	var rows []tablestore.Row
 	for _, row := range s.rows[table] {
 		if row.Revision > since {
 			rows = append(rows, row)
@@ -83,24 +83,24 @@
 	return s.revision[table], rows, nil
 }
 
-func (s *memoryStore) Transact(_ context.Context, table string, writes []platform.Write) (platform.Commit, error) {
+func (s *memoryStore) Transact(_ context.Context, table string, writes []tablestore.Write) (tablestore.Commit, error) {
 	unlock, err := s.lock()
 	if err != nil {
-		return platform.Commit{}, err
+		return tablestore.Commit{}, err
 	}
 	defer unlock()
 	for _, w := range writes {
 		if version, ok := w.IfVersion.Get(); ok && s.rows[table][w.Key].Version != version {
-			return platform.Commit{}, &platform.ConflictError{Table: table, Key: w.Key, Version: s.rows[table][w.Key].Version}
+			return tablestore.Commit{}, &tablestore.ConflictError{Table: table, Key: w.Key, Version: s.rows[table][w.Key].Version}
 		}
 	}
 	if s.rows[table] == nil {
-		s.rows[table] = map[string]platform.Row{}
+		s.rows[table] = map[string]tablestore.Row{}
 	}
-	commit := platform.Commit{Versions: map[string]uint64{}}
+	commit := tablestore.Commit{Versions: map[string]uint64{}}
 	for _, w := range writes {
 		s.revision[table]++
-		row := platform.Row{Key: w.Key, Value: w.Value, Version: s.rows[table][w.Key].Version + 1, Deleted: w.Delete}
+		row := tablestore.Row{Key: w.Key, Value: w.Value, Version: s.rows[table][w.Key].Version + 1, Deleted: w.Delete}
 		row.Revision = s.revision[table]
 		s.rows[table][w.Key] = row
 		commit.Versions[w.Key] = row.Version
--- a/control/tuning.go
+++ b/control/tuning.go
@@ -6,7 +6,7 @@
 
 	"lovagelane/keys"
 	"lovagelane/membership"
-	"lovagelane/platform"
+	"lovagelane/tablestore"
 )
 
 const protocol = "lovagelane-control/1"
@@ -69,7 +69,7 @@
 	maxInbound int
 	tls        tlsSource
 	// store replaces the HTTP client in tests.
-	store platform.Store
+	store tablestore.Store
 }
 
 func defaultTuning() tuning {
--- a/failure/store_test.go
+++ b/failure/store_test.go
@@ -18,9 +18,9 @@
 
 	"lovagelane/membership"
 	"lovagelane/node"
-	"lovagelane/platform"
 	"lovagelane/rollout"
 	"lovagelane/standin"
+	"lovagelane/tablestore"
 	"lovagelane/testbed"
 )
 
@@ -151,7 +151,7 @@
 
 // accepted reads the accepted configuration from the store.
 func (w *world) accepted() rollout.Accepted {
-	client, err := platform.NewClient(w.Store, 0)
+	client, err := tablestore.NewClient(w.Store, 0)
 	require.NoError(w.t, err)
 	defer client.Close()
 	a, _, err := rollout.Current(w.ctx, client)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,7 +18,7 @@
 	"lovagelane/kernel"
 	"lovagelane/keys"
 	"lovagelane/membership"
-	"lovagelane/platform"
+	"lovagelane/tablestore"
 )
 
 const (
@@ -75,12 +75,12 @@
 	if node != "" {
 		return f.membersOf(ctx, node)
 	}
-	client, err := platform.NewClient(store, 0)
+	client, err := tablestore.NewClient(store, 0)
 	if err != nil {
 		return nil, Err.Wrap(err)
 	}
 	defer client.Close()
-	_, rows, err := client.Rows(ctx, platform.MembersTable, 0)
+	_, rows, err := client.Rows(ctx, tablestore.MembersTable, 0)
 	if err != nil {
 		return nil, Err.New("the store does not list the nodes (%v): name one of them with --node", err)
 	}
--- a/rollout/apply.go
+++ b/rollout/apply.go
@@ -11,7 +11,7 @@
 
 	"lovagelane/inventory"
 	"lovagelane/kernel"
-	"lovagelane/platform"
+	"lovagelane/tablestore"
 )
 
 const (
@@ -60,26 +60,26 @@
 // Error names the apply id to look for.
 func (e *UnsettledError) Error() string {
 	return fmt.Sprintf("unknown whether version %d was accepted (%v): when the store answers again, look for apply id %s in %s/%d",
-		e.Version, e.Cause, e.ApplyID, platform.ConfigTable, e.Version)
+		e.Version, e.Cause, e.ApplyID, tablestore.ConfigTable, e.Version)
 }
 
 // Unwrap returns the cause.
 func (e *UnsettledError) Unwrap() error { return e.Cause }
 
 // Current returns the accepted configuration and whether there is one.
-func Current(ctx context.Context, store platform.Store) (Accepted, bool, error) {
-	return readAccepted(ctx, store, platform.CurrentKey)
+func Current(ctx context.Context, store tablestore.Store) (Accepted, bool, error) {
+	return readAccepted(ctx, store, tablestore.CurrentKey)
 }
 
 // Version returns a configuration of the history and whether that version was accepted.
-func Version(ctx context.Context, store platform.Store, version uint64) (Accepted, bool, error) {
+func Version(ctx context.Context, store tablestore.Store, version uint64) (Accepted, bool, error) {
 	return readAccepted(ctx, store, versionKey(version))
 }
 
 func versionKey(version uint64) string { return strconv.FormatUint(version, 10) }
 
-func readAccepted(ctx context.Context, store platform.Store, key string) (Accepted, bool, error) {
-	row, ok, err := store.Row(ctx, platform.ConfigTable, key)
+func readAccepted(ctx context.Context, store tablestore.Store, key string) (Accepted, bool, error) {
+	row, ok, err := store.Row(ctx, tablestore.ConfigTable, key)
 	if err != nil || !ok {
 		return Accepted{}, false, err
 	}
@@ -89,7 +89,7 @@
 
 // Apply stores the files and makes them the accepted configuration if base is still the accepted version. It fails with
 // *StaleError, *NotAcceptedError or *UnsettledError.
-func Apply(ctx context.Context, store platform.Store, files []inventory.File, who string, base uint64) (Accepted, error) {
+func Apply(ctx context.Context, store tablestore.Store, files []inventory.File, who string, base uint64) (Accepted, error) {
 	text, err := Encode(files)
 	if err != nil {
 		return Accepted{}, &NotAcceptedError{Cause: err}
@@ -106,7 +106,7 @@
 }
 
 // putText repeats a failed write, which is harmless because the name is the hash of the content.
-func putText(ctx context.Context, store platform.Store, hash string, text []byte) error {
+func putText(ctx context.Context, store tablestore.Store, hash string, text []byte) error {
 	err := store.PutObject(ctx, hash, text)
 	for attempt := 1; err != nil && attempt < putAttempts && pause(ctx, applyPause<<attempt); attempt++ {
 		err = store.PutObject(ctx, hash, text)
@@ -114,21 +114,21 @@
 	return err
 }
 
-func acceptance(want Accepted) ([]platform.Write, error) {
+func acceptance(want Accepted) ([]tablestore.Write, error) {
 	value, err := json.Marshal(want)
 	if err != nil {
 		return nil, err
 	}
-	return []platform.Write{
-		{Key: platform.CurrentKey, Value: string(value), IfVersion: kernel.Some(want.Version - 1)},
+	return []tablestore.Write{
+		{Key: tablestore.CurrentKey, Value: string(value), IfVersion: kernel.Some(want.Version - 1)},
 		{Key: versionKey(want.Version), Value: string(value), IfVersion: kernel.Some(uint64(0))},
 	}, nil
 }
 
 type applier struct {
-	store  platform.Store
+	store  tablestore.Store
 	want   Accepted
-	writes []platform.Write
+	writes []tablestore.Write
 	// lost means that a transaction may have taken effect without an answer.
 	lost bool
 }
@@ -141,9 +141,9 @@
 		if attempt > 0 && !pause(ctx, applyPause<<attempt) {
 			break
 		}
-		_, err = a.store.Transact(ctx, platform.ConfigTable, a.writes)
-		var conflict *platform.ConflictError
-		var unknown *platform.UnknownError
+		_, err = a.store.Transact(ctx, tablestore.ConfigTable, a.writes)
+		var conflict *tablestore.ConflictError
+		var unknown *tablestore.UnknownError
 		switch {
 		case err == nil:
 			return a.want, nil
@@ -165,7 +165,7 @@
 }
 
 // settle looks for the apply id in the current row and in the history row.
-func (a *applier) settle(ctx context.Context, conflict *platform.ConflictError) (Accepted, bool, error) {
+func (a *applier) settle(ctx context.Context, conflict *tablestore.ConflictError) (Accepted, bool, error) {
 	current, _, err := Current(ctx, a.store)
 	if err != nil {
 		return Accepted{}, false, err
--- a/rollout/apply_test.go
+++ b/rollout/apply_test.go
@@ -8,13 +8,13 @@
 	"github.com/stretchr/testify/require"
 
 	"lovagelane/inventory"
-	"lovagelane/platform"
 	"lovagelane/rollout"
+	"lovagelane/tablestore"
 )
 
 var (
-	errDown = &platform.UnavailableError{Cause: errors.New("503")}
-	errLost = &platform.UnknownError{Cause: errors.New("timeout")}
+	errDown = &tablestore.UnavailableError{Cause: errors.New("503")}
+	errLost = &tablestore.UnknownError{Cause: errors.New("timeout")}
 	files   = []inventory.File{{Name: "inventory.ini", Text: "[region rn]"}}
 )
 
@@ -33,17 +33,17 @@
 
 // fakeStore holds the config table in memory and meets its calls with planned faults.
 type fakeStore struct {
-	rows       map[string]platform.Row
+	rows       map[string]tablestore.Row
 	objects    map[string][]byte
 	transacts  []fault
 	reads      []fault
 	puts       []fault
-	waiting    []platform.Write
+	waiting    []tablestore.Write
 	beforeRead func()
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &fakeStore{rows: map[string]tablestore.Row{}, objects: map[string][]byte{}}
 }
 
 func next(plan *[]fault) fault {
@@ -55,53 +55,53 @@
 	return f
 }
 
-func (s *fakeStore) Row(_ context.Context, _, key string) (platform.Row, bool, error) {
+func (s *fakeStore) Row(_ context.Context, _, key string) (tablestore.Row, bool, error) {
 	if s.beforeRead != nil {
 		do := s.beforeRead
 		s.beforeRead = nil
 		do()
 	}
 	if next(&s.reads) == down {
-		return platform.Row{}, false, errDown
+		return tablestore.Row{}, false, errDown
 	}
 	row, ok := s.rows[key]
 	return row, ok, nil
 }
 
-func (s *fakeStore) Rows(context.Context, string, uint64) (uint64, []platform.Row, error) {
+func (s *fakeStore) Rows(context.Context, string, uint64) (uint64, []tablestore.Row, error) {
 	return 0, nil, errors.ErrUnsupported
 }
 
-func (s *fakeStore) commit(writes []platform.Write) error {
+func (s *fakeStore) commit(writes []tablestore.Write) error {
 	for _, w := range writes {
 		if want, ok := w.IfVersion.Get(); ok && s.rows[w.Key].Version != want {
-			return &platform.ConflictError{Table: platform.ConfigTable, Key: w.Key, Version: s.rows[w.Key].Version}
+			return &tablestore.ConflictError{Table: tablestore.ConfigTable, Key: w.Key, Version: s.rows[w.Key].Version}
 		}
 	}
 	for _, w := range writes {
-		s.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: s.rows[w.Key].Version + 1}
+		s.rows[w.Key] = tablestore.Row{Key: w.Key, Value: w.Value, Version: s.rows[w.Key].Version + 1}
 	}
 	return nil
 }
 
-func (s *fakeStore) Transact(_ context.Context, _ string, writes []platform.Write) (platform.Commit, error) {
+func (s *fakeStore) Transact(_ context.Context, _ string, writes []tablestore.Write) (tablestore.Commit, error) {
 	if s.waiting != nil {
 		_ = s.commit(s.waiting)
 		s.waiting = nil
 	}
 	switch next(&s.transacts) {
 	case down:
-		return platform.Commit{}, errDown
+		return tablestore.Commit{}, errDown
 	case lost:
 		_ = s.commit(writes)
-		return platform.Commit{}, errLost
+		return tablestore.Commit{}, errLost
 	case dropped:
-		return platform.Commit{}, errLost
+		return tablestore.Commit{}, errLost
 	case delayed:
 		s.waiting = writes
-		return platform.Commit{}, errLost
+		return tablestore.Commit{}, errLost
 	}
-	return platform.Commit{}, s.commit(writes)
+	return tablestore.Commit{}, s.commit(writes)
 }
 
 func (s *fakeStore) PutObject(_ context.Context, name string, data []byte) error {
@@ -166,7 +166,7 @@
 			c.prepare(t, s)
 			accepted, err := rollout.Apply(t.Context(), s, files, "davi", c.base)
 			require.Equal(t, c.want, verdict(err), "%v", err)
-			require.Equal(t, c.current, s.rows[platform.CurrentKey].Version)
+			require.Equal(t, c.current, s.rows[tablestore.CurrentKey].Version)
 			if c.want != "accepted" {
 				return
 			}
@@ -225,7 +225,7 @@
 func TestReadRowChecksTheVersion(t *testing.T) {
 	s := newFakeStore()
 	applied(t, s, "ana", 0)
-	row := s.rows[platform.CurrentKey]
+	row := s.rows[tablestore.CurrentKey]
 	_, err := rollout.ReadRow(row)
 	require.NoError(t, err)
 	row.Version = 7
--- a/rollout/standin_test.go
+++ b/rollout/standin_test.go
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/require"
 
 	"lovagelane/kernel"
-	"lovagelane/platform"
 	"lovagelane/rollout"
 	"lovagelane/standin"
+	"lovagelane/tablestore"
 )
 
 // Guards against a client and a stand-in that read the protocol differently, with the faults that the stand-in can show.
@@ -22,7 +22,7 @@
 	p := standin.NewPlatform(kernel.SystemClock{})
 	p.Serve(g, ln)
 	t.Cleanup(func() { _ = g.Stop() })
-	store, err := platform.NewClient("http://"+ln.Addr().String(), 300*time.Millisecond)
+	store, err := tablestore.NewClient("http://"+ln.Addr().String(), 300*time.Millisecond)
 	require.NoError(t, err)
 	t.Cleanup(store.Close)
 
@@ -45,23 +45,23 @@
 	require.True(t, ok)
 	require.Equal(t, uint64(2), current.Version)
 
-	_, err = store.Transact(t.Context(), platform.MembersTable, []platform.Write{{Key: "a", Value: "x"}})
+	_, err = store.Transact(t.Context(), tablestore.MembersTable, []tablestore.Write{{Key: "a", Value: "x"}})
 	require.NoError(t, err)
-	revision, rows, err := store.Rows(t.Context(), platform.MembersTable, 0)
+	revision, rows, err := store.Rows(t.Context(), tablestore.MembersTable, 0)
 	require.NoError(t, err)
 	require.Len(t, rows, 1)
-	_, err = store.Transact(t.Context(), platform.MembersTable, []platform.Write{{Key: "a", Delete: true}})
+	_, err = store.Transact(t.Context(), tablestore.MembersTable, []tablestore.Write{{Key: "a", Delete: true}})
 	require.NoError(t, err)
-	_, rows, err = store.Rows(t.Context(), platform.MembersTable, revision)
+	_, rows, err = store.Rows(t.Context(), tablestore.MembersTable, revision)
 	require.NoError(t, err)
 	require.Len(t, rows, 1)
 	require.True(t, rows[0].Deleted)
 
 	p.SetFaults(standin.PlatformFaults{LoseAnswers: ptr(1)})
-	_, err = store.Transact(t.Context(), platform.MembersTable, []platform.Write{{Key: "b", Value: "x"}})
-	var unknown *platform.UnknownError
+	_, err = store.Transact(t.Context(), tablestore.MembersTable, []tablestore.Write{{Key: "b", Value: "x"}})
+	var unknown *tablestore.UnknownError
 	require.ErrorAs(t, err, &unknown)
-	_, ok, err = store.Row(t.Context(), platform.MembersTable, "b")
+	_, ok, err = store.Row(t.Context(), tablestore.MembersTable, "b")
 	require.NoError(t, err)
 	require.True(t, ok, "the write took effect")
 }
--- a/rollout/text.go
+++ b/rollout/text.go
@@ -10,7 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"lovagelane/inventory"
-	"lovagelane/platform"
+	"lovagelane/tablestore"
 )
 
 const (
@@ -71,17 +71,17 @@
 }
 
 // ReadRow returns the configuration that a row of the config table names.
-func ReadRow(row platform.Row) (Accepted, error) {
+func ReadRow(row tablestore.Row) (Accepted, error) {
 	var a Accepted
 	if err := json.Unmarshal([]byte(row.Value), &a); err != nil {
-		return a, fmt.Errorf("row %s/%s cannot be read: %w", platform.ConfigTable, row.Key, err)
+		return a, fmt.Errorf("row %s/%s cannot be read: %w", tablestore.ConfigTable, row.Key, err)
 	}
 	if a.Version == 0 || len(a.Hash) != 2*sha256.Size {
-		return a, fmt.Errorf("row %s/%s has no version or hash: repeat the apply", platform.ConfigTable, row.Key)
+		return a, fmt.Errorf("row %s/%s has no version or hash: repeat the apply", tablestore.ConfigTable, row.Key)
 	}
-	if row.Key == platform.CurrentKey && a.Version != row.Version {
+	if row.Key == tablestore.CurrentKey && a.Version != row.Version {
 		return a, fmt.Errorf("row %s/%s names version %d but is at version %d: it was not written by apply",
-			platform.ConfigTable, row.Key, a.Version, row.Version)
+			tablestore.ConfigTable, row.Key, a.Version, row.Version)
 	}
 	return a, nil
 }
--- a/platform/client.go
+++ b/tablestore/client.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"cmp"
--- a/platform/client_test.go
+++ b/tablestore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/kernel"
-	"lovagelane/platform"
+	"lovagelane/tablestore"
 )
 
 // serve answers every request with handler on loopback and returns the base URL.
@@ -42,19 +42,19 @@
 	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 }
 
-func newClient(t *testing.T, base string, timeout time.Duration) *platform.Client {
+func newClient(t *testing.T, base string, timeout time.Duration) *tablestore.Client {
 	t.Helper()
-	c, err := platform.NewClient(base, timeout)
+	c, err := tablestore.NewClient(base, timeout)
 	require.NoError(t, err)
 	t.Cleanup(c.Close)
 	return c
 }
 
 func kindOf(err error) string {
-	var conflict *platform.ConflictError
-	var unavailable *platform.UnavailableError
-	var unknown *platform.UnknownError
-	var protocol *platform.ProtocolError
+	var conflict *tablestore.ConflictError
+	var unavailable *tablestore.UnavailableError
+	var unknown *tablestore.UnknownError
+	var protocol *tablestore.ProtocolError
 	switch {
 	case err == nil:
 		return "done"
@@ -101,7 +101,7 @@
 			store := newClient(t, base, 100*time.Millisecond)
 			_, _, err := store.Row(t.Context(), "config", "current")
 			require.Equal(t, c.read, kindOf(err), "read: %v", err)
-			_, err = store.Transact(t.Context(), "config", []platform.Write{{Key: "current", Value: "x"}})
+			_, err = store.Transact(t.Context(), "config", []tablestore.Write{{Key: "current", Value: "x"}})
 			require.Equal(t, c.write, kindOf(err), "write: %v", err)
 			require.Equal(t, c.put, kindOf(store.PutObject(t.Context(), "abc", []byte("x"))))
 		})
@@ -121,7 +121,7 @@
 	row, ok, err := store.Row(t.Context(), "config", "current")
 	require.NoError(t, err)
 	require.True(t, ok)
-	require.Equal(t, platform.Row{Key: "current", Value: "v", Version: 3, Revision: 9, AgeMillis: 1500}, row)
+	require.Equal(t, tablestore.Row{Key: "current", Value: "v", Version: 3, Revision: 9, AgeMillis: 1500}, row)
 	require.Equal(t, 1500*time.Millisecond, row.Age())
 	require.Equal(t, "GET /tables/config/rows/current ", got)
 
@@ -129,15 +129,15 @@
 	revision, rows, err := store.Rows(t.Context(), "members", 2)
 	require.NoError(t, err)
 	require.Equal(t, uint64(4), revision)
-	require.Equal(t, []platform.Row{{Key: "a", Deleted: true}}, rows)
+	require.Equal(t, []tablestore.Row{{Key: "a", Deleted: true}}, rows)
 	require.Equal(t, "GET /tables/members/rows?since=2 ", got)
 
 	reply = `{"revision":5,"versions":{"a":1}}`
-	commit, err := store.Transact(t.Context(), "members", []platform.Write{
+	commit, err := store.Transact(t.Context(), "members", []tablestore.Write{
 		{Key: "a", Value: "v", IfVersion: kernel.Some(uint64(0))}, {Key: "b", Delete: true},
 	})
 	require.NoError(t, err)
-	require.Equal(t, platform.Commit{Revision: 5, Versions: map[string]uint64{"a": 1}}, commit)
+	require.Equal(t, tablestore.Commit{Revision: 5, Versions: map[string]uint64{"a": 1}}, commit)
 	require.Equal(t, `POST /tables/members/transactions `+
 		`{"writes":[{"key":"a","value":"v","if-version":0},{"key":"b","delete":true}]}`, got)
 
@@ -178,7 +178,7 @@
 // Guards against a base URL that is wrong and only fails later.
 func TestNewClientChecksTheURL(t *testing.T) {
 	for _, base := range []string{"", "10.0.0.1:8000", "ftp://x", "http://"} {
-		_, err := platform.NewClient(base, 0)
+		_, err := tablestore.NewClient(base, 0)
 		require.ErrorContains(t, err, "write it as http://10.0.0.1:8000", base)
 	}
 }
