--- a/node/disconnect.go
+++ b/hangup/watch.go
@@ -1,4 +1,4 @@
-package node
+package hangup
 
 import (
 	"crypto/tls"
@@ -9,11 +9,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// disconnectTicks is the number of admission ticks after which the connections of waiting callers are checked.
-const disconnectTicks = 3
-
-// disconnects notices callers that closed their connection while they waited for an answer.
-type disconnects struct {
+// Watch holds the connections of waiting callers; its zero value is ready.
+type Watch struct {
 	mu      sync.Mutex
 	next    uint64
 	waiting map[uint64]*waitingCaller
@@ -24,8 +21,8 @@
 	gone chan struct{}
 }
 
-// add watches a connection until stop is called; the channel is closed when the other end has closed it.
-func (d *disconnects) add(conn net.Conn) (gone <-chan struct{}, stop func()) {
+// Add watches a connection until stop is called; the channel is closed when the other end has closed it.
+func (w *Watch) Add(conn net.Conn) (gone <-chan struct{}, stop func()) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil, func() {}
@@ -34,45 +31,45 @@
 	if err != nil {
 		return nil, func() {}
 	}
-	w := &waitingCaller{conn: raw, gone: make(chan struct{})}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.waiting == nil {
-		d.waiting = map[uint64]*waitingCaller{}
+	caller := &waitingCaller{conn: raw, gone: make(chan struct{})}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.waiting == nil {
+		w.waiting = map[uint64]*waitingCaller{}
 	}
-	d.next++
-	id := d.next
-	d.waiting[id] = w
-	return w.gone, func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		delete(d.waiting, id)
+	w.next++
+	id := w.next
+	w.waiting[id] = caller
+	return caller.gone, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.waiting, id)
 	}
 }
 
-// count returns the number of watched connections.
-func (d *disconnects) count() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.waiting)
+// Count returns the number of watched connections.
+func (w *Watch) Count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.waiting)
 }
 
-// check looks at every watched connection without reading from it.
-func (d *disconnects) check() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for id, w := range d.waiting {
-		if closed(w.conn) {
-			close(w.gone)
-			delete(d.waiting, id)
+// Check looks at every watched connection without reading from it.
+func (w *Watch) Check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, caller := range w.waiting {
+		if closed(caller.conn) {
+			close(caller.gone)
+			delete(w.waiting, id)
 		}
 	}
 }
 
-// abandoned reports whether the sender of the request that was just read from conn has given up on it. A request that
+// Abandoned reports whether the sender of the request that was just read from conn has given up on it. A request that
 // waited in the socket while this process was paused states a remaining time that counts from its sending, so only the
 // closed connection shows that its deadline has passed.
-func abandoned(conn net.Conn) bool {
+func Abandoned(conn net.Conn) bool {
 	secured, isTLS := conn.(*tls.Conn)
 	if isTLS {
 		conn = secured.NetConn()
@@ -85,19 +82,19 @@
 	if err != nil {
 		return true
 	}
-	pending, gone := peek(raw)
+	pending, gone := Peek(raw)
 	// A node sends nothing after a request but the alert that ends the TLS session.
 	return gone || isTLS && pending
 }
 
 // closed reports whether the other end has closed a connection.
 func closed(conn syscall.RawConn) bool {
-	_, gone := peek(conn)
+	_, gone := Peek(conn)
 	return gone
 }
 
-// peek looks at a socket without reading from it: no byte and no error means that the other end has closed it.
-func peek(conn syscall.RawConn) (pending, gone bool) {
+// Peek looks at a socket without reading from it: no byte and no error means that the other end has closed it.
+func Peek(conn syscall.RawConn) (pending, gone bool) {
 	err := conn.Control(func(fd uintptr) {
 		var b [1]byte
 		count, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
--- a/node/caller.go
+++ b/node/caller.go
@@ -166,7 +166,7 @@
 		n.refuseCaller(ctx, &out.op, refusal(call.ReasonShed, call.OutcomeNotRun, n.levelRule(out.op)))
 		return
 	}
-	watch, stop := n.watch.add(ctx.Conn())
+	watch, stop := n.watch.Add(ctx.Conn())
 	defer stop()
 	out.cancelled = watch
 	r := n.carry(out)
--- a/node/header.go
+++ b/node/header.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"lovagelane/call"
 )
 
 // Headers between callers, nodes and backend servers.
@@ -27,12 +29,6 @@
 
 const headerPrefix = "Lovagelane-"
 
-// hopHeaders hold for one connection only and are not passed on.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
-}
-
 // copyRequestHeaders passes on the headers of a request but for those of one connection and those of lovagelane.
 func copyRequestHeaders(dst, src *fasthttp.RequestHeader) {
 	for key, value := range src.All() {
@@ -52,7 +48,7 @@
 }
 
 func passedOn(name string) bool {
-	return !hopHeaders[name] && !strings.HasPrefix(name, headerPrefix)
+	return !call.ConnectionHeader(name) && !strings.HasPrefix(name, headerPrefix)
 }
 
 // internalHeaders counts the headers of a request that only nodes may send.
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"lovagelane/call"
 	"lovagelane/control"
 	"lovagelane/event"
+	"lovagelane/hangup"
 	"lovagelane/inventory"
 	"lovagelane/kernel"
 	"lovagelane/keys"
@@ -42,6 +43,8 @@
 	callerConnections = 768
 	nodeConnections   = 2048
 	adminConnections  = 32
+	// disconnectTicks is the number of admission ticks after which the connections of waiting callers are checked.
+	disconnectTicks = 3
 	// idleTick is the period of the admission tick while no call runs or waits.
 	idleTick = 50 * time.Millisecond
 	// drainGrace is how long calls are still taken after the drain was announced, so that the announcement can spread.
@@ -113,7 +116,7 @@
 	attempts   attempts
 	poison     poison
 	pressures  pressures
-	watch      disconnects
+	watch      hangup.Watch
 
 	servers   []*fasthttp.Server
 	addresses Addresses
@@ -164,14 +167,14 @@
 		}
 		n.gate.tick(n.clock.Now())
 		if ticks%disconnectTicks == 0 {
-			n.watch.check()
+			n.watch.Check()
 		}
 		timer.Reset(n.nextTick())
 	}
 }
 
 func (n *Node) nextTick() time.Duration {
-	if n.gate.idle() && n.watch.count() == 0 {
+	if n.gate.idle() && n.watch.Count() == 0 {
 		return idleTick
 	}
 	return admissionTick
--- a/node/owned.go
+++ b/node/owned.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/call"
+	"lovagelane/hangup"
 	"lovagelane/ticket"
 )
 
@@ -148,7 +149,7 @@
 // startOwned carries a request that the owner started and keeps its answer for resends. A caller that disconnects later
 // does not cancel it, because its resend asks for the answer.
 func (n *Node) startOwned(ctx *fasthttp.RequestCtx, out *outbound, t ticket.Ticket, allowance int) {
-	if abandoned(ctx.Conn()) {
+	if hangup.Abandoned(ctx.Conn()) {
 		n.owned.finish(n.clock.Now(), t.Seq, ticket.Answer{Outcome: call.OutcomeNotRun, Reason: call.ReasonCancelled}, allowance)
 		n.refuseCaller(ctx, &out.op, refusal(call.ReasonCancelled, call.OutcomeNotRun, out.op.Line.String()))
 		return
