--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,97 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lovagelane/directory"
+)
+
+func entry(address string, version uint64, service string) directory.Entry {
+	return directory.Entry{Version: version, Node: directory.Node{Address: address, Service: service, Region: "rn", State: directory.Serving}}
+}
+
+// Guards against an old row that replaces a newer one when rows arrive from several sources in any order.
+func TestMergeIsIndependentOfOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var rows []directory.Entry
+		for v := uint64(1); v <= 20; v++ {
+			e := entry(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "address")), v, fmt.Sprint(v))
+			e.Removed = rapid.Bool().Draw(t, "removed")
+			rows = append(rows, e)
+		}
+		var ordered, shuffled directory.Directory
+		for _, e := range rows {
+			ordered.Merge(e)
+		}
+		for _, e := range rapid.Permutation(rows).Draw(t, "order") {
+			shuffled.Merge(e)
+			shuffled.Merge(e)
+		}
+		require.Equal(t, ordered.Nodes(), shuffled.Nodes())
+		require.Equal(t, ordered.Version(), shuffled.Version())
+		require.Equal(t, ordered.Since(0), shuffled.Since(0))
+	})
+}
+
+// Guards against a node that stays known although its row was removed while the feed of changes was not read.
+func TestReplaceRemovesWhatIsNotListed(t *testing.T) {
+	var d directory.Directory
+	d.Merge(entry("a", 3, "maps"))
+	d.Merge(entry("b", 4, "maps"))
+	d.Merge(entry("c", 9, "maps"))
+	d.Replace([]directory.Entry{entry("a", 3, "maps")}, 7)
+	var left []string
+	for _, n := range d.Nodes() {
+		left = append(left, n.Address)
+	}
+	require.Equal(t, []string{"a", "c"}, left, "c was written after the list was read")
+	require.False(t, d.Merge(entry("b", 5, "maps")), "a row from before the list came back")
+}
+
+// Guards against an address that is used by another service and is still taken for the old one.
+func TestNodeIsKnownByWhatItSaidLast(t *testing.T) {
+	var d directory.Directory
+	d.Merge(entry("a", 3, "maps"))
+	n := entry("a", 0, "nursery").Node
+	require.True(t, d.Seen(n))
+	require.False(t, d.Seen(n))
+	require.Equal(t, "nursery", d.Nodes()[0].Service)
+	d.Merge(entry("a", 4, "imagery"))
+	require.Equal(t, "imagery", d.Nodes()[0].Service)
+	require.False(t, d.Seen(entry("unknown", 0, "maps").Node))
+}
+
+// Guards against malformed rows of another writer that name a node.
+func TestMergeRefusesWhatIsOutOfBounds(t *testing.T) {
+	var d directory.Directory
+	for _, n := range []directory.Node{{}, {Address: "a", Slots: -1}, {Address: "a", State: 9}, {Address: "a", Service: string(make([]byte, 300))}} {
+		require.False(t, d.Merge(directory.Entry{Node: n, Version: 1}), "%+v", n)
+	}
+	require.Empty(t, d.Nodes())
+}
+
+// Guards against nodes that nobody keeps a connection to, which would get no news while the store is away.
+func TestEveryNodeIsSomeonesNeighbour(t *testing.T) {
+	var d directory.Directory
+	regions := []string{"rn", "ce"}
+	for i := range 40 {
+		e := entry(fmt.Sprintf("10.0.0.%d:1", i), uint64(i+1), "maps")
+		e.Node.Region = regions[i%2]
+		d.Merge(e)
+	}
+	watched := map[string]int{}
+	for _, n := range d.Nodes() {
+		list := d.Neighbours(n.Address, n.Region, 2)
+		require.NotContains(t, list, n.Address)
+		for _, address := range list {
+			watched[address]++
+		}
+	}
+	for _, n := range d.Nodes() {
+		require.GreaterOrEqual(t, watched[n.Address], 2, n.Address)
+	}
+}
--- /dev/null
+++ b/dispatch/chooser_test.go
@@ -0,0 +1,99 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagelane/balance"
+	"lovagelane/dispatch"
+	"lovagelane/kernel"
+	"lovagelane/slots"
+)
+
+const objective = time.Second
+
+var (
+	start = time.Unix(1000, 0)
+	home  = balance.Place{Region: "rn", AvailabilityZone: "rn-1"}
+	query = dispatch.Query{Service: "maps", Route: "read", Objective: objective, Within: objective / 4}
+)
+
+func chooser() *dispatch.Chooser {
+	c := &dispatch.Chooser{}
+	c.Update(home, []dispatch.Candidate{
+		{Address: "near", Service: "maps", Place: home, Slots: 10},
+		{Address: "zone", Service: "maps", Place: balance.Place{Region: "rn", AvailabilityZone: "rn-2"}, Slots: 10},
+		{Address: "far", Service: "maps", Place: balance.Place{Region: "ce", AvailabilityZone: "ce-1"}, Slots: 10},
+		{Address: "other", Service: "nursery", Place: home, Slots: 10},
+	})
+	return c
+}
+
+func choose(t *testing.T, c *dispatch.Chooser, now time.Time, q dispatch.Query) dispatch.Choice {
+	t.Helper()
+	choice, ok := c.Choose(now, q, kernel.NewRand(1))
+	require.True(t, ok)
+	return choice
+}
+
+func full(wait time.Duration) slots.Load { return slots.Load{Running: 10, Limit: 10, Wait: wait} }
+
+// Guards against calls that leave their zone or region while there is room near by, and against a surge that is refused
+// while another zone or region has room.
+func TestSurgeFlowsToTheNearestRoomAndBack(t *testing.T) {
+	c := chooser()
+	require.Equal(t, "near", choose(t, c, start, query).Address)
+	c.Report(start, "near", full(100*time.Millisecond))
+	require.Equal(t, "zone", choose(t, c, start, query).Address)
+	c.Report(start, "zone", full(200*time.Millisecond))
+	require.Equal(t, "near", choose(t, c, start, query).Address, "a short wait is better than the way to another region")
+	c.Report(start, "near", full(900*time.Millisecond))
+	c.Report(start, "zone", full(900*time.Millisecond))
+	require.Equal(t, "far", choose(t, c, start, query).Address)
+	require.Equal(t, "near", choose(t, c, start.Add(time.Second), query).Address)
+}
+
+// Guards against a call that waits longer at one backend server than the way to another one takes.
+func TestWaitIsBoundedByTheNextBest(t *testing.T) {
+	c := chooser()
+	c.Report(start, "near", full(2*time.Millisecond))
+	choice := choose(t, c, start, query)
+	require.Equal(t, "near", choice.Address)
+	require.Less(t, choice.Wait, objective/4)
+	require.GreaterOrEqual(t, choice.Wait, objective/25)
+	q := query
+	q.Exclude = kernel.SetOf("zone", "far")
+	require.Equal(t, q.Within, choose(t, c, start, q).Wait)
+}
+
+// Guards against calls that stay with a backend server in their own zone that has become many times slower, and against
+// one that is never tried again.
+func TestSlowBackendServerIsLeftAndTriedAgain(t *testing.T) {
+	c := chooser()
+	for range 50 {
+		c.Learn(start, "near", dispatch.Answered{Route: "read", Ran: 50 * time.Millisecond})
+		c.Learn(start, "zone", dispatch.Answered{Route: "read", Ran: 50 * time.Millisecond})
+	}
+	require.Equal(t, "near", choose(t, c, start, query).Address)
+	for range 10 {
+		c.Learn(start, "near", dispatch.Answered{Route: "read", Ran: 300 * time.Millisecond})
+	}
+	require.Equal(t, "zone", choose(t, c, start, query).Address)
+	require.Equal(t, "near", choose(t, c, start.Add(30*time.Second), query).Address)
+}
+
+// Guards against calls to a backend server that takes none, and against giving up although it is the only one.
+func TestUnusableBackendServerIsPassedOver(t *testing.T) {
+	c := chooser()
+	c.Learn(start, "near", dispatch.Unusable{})
+	require.Equal(t, "zone", choose(t, c, start, query).Address)
+	q := query
+	q.Exclude = kernel.SetOf("zone", "far")
+	require.Equal(t, "near", choose(t, c, start, q).Address)
+	q.Exclude = q.Exclude.With("near")
+	_, ok := c.Choose(start, q, kernel.NewRand(1))
+	require.False(t, ok)
+	require.Equal(t, "near", choose(t, c, start.Add(time.Second), query).Address)
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,97 @@
+package routing_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lovagelane/kernel"
+	"lovagelane/routing"
+)
+
+func config(t *testing.T, routes ...routing.Route) *routing.Config {
+	t.Helper()
+	c, err := routing.New(7, routes, []routing.Service{{Name: "maps"}, {Name: "nursery"}}, routing.Limits{})
+	require.NoError(t, err)
+	return c
+}
+
+func route(name, host, prefix string, targets ...routing.Target) routing.Route {
+	return routing.Route{Name: name, Host: host, Prefix: prefix, Targets: targets}
+}
+
+// Guards against a request that goes to the route of another host, or to a shorter prefix although a longer one matches.
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	maps := routing.Target{Service: "maps", Weight: 1}
+	c := config(t, route("short", "a", "/x/", maps), route("long", "a", "/x/y/", maps), route("other", "b", "/x/y/z/", maps))
+	for _, tc := range []struct{ host, path, want string }{
+		{"a", "/x/1", "short"},
+		{"a", "/x/y/1", "long"},
+		{"a", "/x/y", "short"},
+		{"a", "/x/y/z/1", "long"},
+		{"b", "/x/y/z/1", "other"},
+		{"b", "/x/1", ""},
+		{"c", "/x/1", ""},
+	} {
+		r, ok := c.Match(tc.host, tc.path)
+		require.Equal(t, tc.want != "", ok, "%s%s", tc.host, tc.path)
+		if ok {
+			require.Equal(t, tc.want, r.Name, "%s%s", tc.host, tc.path)
+		}
+	}
+}
+
+// Guards against a configuration that is put in force although a request could not be routed by it.
+func TestNewRefusesWhatCannotBeRouted(t *testing.T) {
+	maps := routing.Target{Service: "maps", Weight: 1}
+	for name, r := range map[string]routing.Route{
+		"no host":         route("r", "", "/x/", maps),
+		"open prefix":     route("r", "a", "/x", maps),
+		"no service":      route("r", "a", "/x/"),
+		"unknown service": route("r", "a", "/x/", routing.Target{Service: "tides", Weight: 1}),
+		"negative weight": route("r", "a", "/x/", maps, routing.Target{Service: "nursery", Weight: -1}),
+		"no weight":       route("r", "a", "/x/", routing.Target{Service: "maps"}),
+	} {
+		_, err := routing.New(1, []routing.Route{r}, []routing.Service{{Name: "maps"}, {Name: "nursery"}}, routing.Limits{})
+		require.Error(t, err, name)
+	}
+}
+
+// Guards against shares of a split that are far from the weights over few requests from many nodes.
+func TestSplitsKeepTheWeightsOverAllNodes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weight := rapid.IntRange(0, 100).Draw(t, "weight")
+		nodes := rapid.IntRange(1, 60).Draw(t, "nodes")
+		r := route("r", "a", "/", routing.Target{Service: "maps", Weight: weight}, routing.Target{Service: "nursery", Weight: 101 - weight})
+		count := 0
+		each := 600 / nodes
+		for n := range nodes {
+			var s routing.Splits
+			random := kernel.NewRand(uint64(n) + 1)
+			for range each {
+				if s.Next(&r, random) == "maps" {
+					count++
+				}
+			}
+		}
+		share := float64(count) / float64(nodes*each)
+		if math.Abs(share-float64(weight)/101) > 0.1 {
+			t.Fatalf("share %.3f for weight %d of 101 on %d nodes", share, weight, nodes)
+		}
+	})
+}
+
+// Guards against a changed weight that takes effect late because the old sequence goes on.
+func TestSplitsFollowAChangeOfWeights(t *testing.T) {
+	var s routing.Splits
+	random := kernel.NewRand(1)
+	first := route("r", "a", "/", routing.Target{Service: "maps", Weight: 100}, routing.Target{Service: "nursery", Weight: 0})
+	second := route("r", "a", "/", routing.Target{Service: "maps", Weight: 0}, routing.Target{Service: "nursery", Weight: 100})
+	for i := range 10 {
+		require.Equal(t, "maps", s.Next(&first, random), fmt.Sprint(i))
+	}
+	require.Equal(t, "nursery", s.Next(&second, random))
+}
