--- a/cmd/lovagelane/main.go
+++ b/cmd/lovagelane/main.go
@@ -16,6 +16,7 @@
 
 func main() {
 	command.RunNode = runNode
+	command.RunMesh = runMesh
 	os.Exit(command.Run(os.Args[1:], &command.Env{Out: os.Stdout, Err: os.Stderr}))
 }
 
--- /dev/null
+++ b/cmd/lovagelane/mesh.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"lovagelane/event"
+	"lovagelane/kernel"
+	"lovagelane/mesh"
+	_ "lovagelane/platform" // Registers the operators' platform.
+	"lovagelane/settings"
+)
+
+// memoryShare is the part of the memory that the settings state at which the garbage collector works harder.
+const memoryShare = 0.6
+
+// runMesh runs a mesh node until SIGTERM or SIGINT. SIGHUP has the settings read again.
+func runMesh(path string, s settings.Mesh) error {
+	if _, ok := os.LookupEnv("GOMEMLIMIT"); !ok && s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	}
+	log := event.New(os.Stdout, kernel.SystemClock{})
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	n, err := mesh.Start(context.Background(), mesh.Options{Settings: s, Log: log})
+	if err != nil {
+		return err
+	}
+	group := kernel.NewGroup(context.Background())
+	group.Go("signals", func(ctx context.Context) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case sig := <-signals:
+				if sig != syscall.SIGHUP {
+					return n.Stop()
+				}
+				reload(path, s, log)
+			}
+		}
+	})
+	err = n.Wait()
+	if stopErr := group.Stop(); err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+// reload reads the settings again. What they state holds for a whole run of the process, so a change takes effect at the
+// next start; nothing is interrupted.
+func reload(path string, old settings.Mesh, log *event.Log) {
+	s, err := settings.LoadMesh(path)
+	if err != nil {
+		log.Error("settings-not-read", "error", err)
+		return
+	}
+	log.Info("settings-read", "changed", s.String() != old.String(), "effect", "at the next start")
+}
--- /dev/null
+++ b/mesh/announce.go
@@ -0,0 +1,227 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lovagelane/directory"
+	"lovagelane/kernel"
+	"lovagelane/slots"
+)
+
+const (
+	// recordTimeout bounds the time in which a leaving is put on record; the backend server waits a second for its answer.
+	recordTimeout = 800 * time.Millisecond
+	// recordRetry is the pause between attempts to write a row.
+	recordRetry = 300 * time.Millisecond
+	// nodesTable holds one row for each node, with its address as the key.
+	nodesTable = "lovagelane-nodes"
+)
+
+// handleAnnouncement takes what the own backend server says of itself. A leaving is acknowledged once it is on record, so
+// that this node keeps to it after a restart too.
+func (n *Node) handleAnnouncement(ctx *fasthttp.RequestCtx) {
+	a, err := n.deployment.ReadAnnouncement(ctx)
+	if err != nil {
+		n.metrics.Add("announcements-malformed", 1)
+		n.log.Warn("announcement-malformed", "error", err)
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if a.Address != "" && a.Address != n.settings.BackendServer {
+		n.log.Warn("announcement-of-another", "id", a.Backend.ID, "address", a.Address)
+		ctx.SetStatusCode(fasthttp.StatusOK)
+		return
+	}
+	if !n.hear(a) {
+		ctx.Error("the leaving is not on record yet: send it again", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString("{}")
+}
+
+// hear takes an announcement and reports whether it is acknowledged.
+func (n *Node) hear(a Announcement) bool {
+	n.mu.Lock()
+	current, state := n.tracker.Current()
+	if a.Gone && a.Backend.Born == 0 {
+		if a.Backend.ID != current.ID {
+			n.mu.Unlock()
+			return true
+		}
+		a.Backend = current
+	}
+	heard := n.tracker.Hear(a.Backend, a.Sequence, a.Gone || a.Leaving)
+	if heard == directory.HeardNothing {
+		current, state = n.tracker.Current()
+		recorded := state != directory.Leaving || current != a.Backend || n.recovery.recorded == current
+		n.mu.Unlock()
+		return recorded || n.record(a.Backend)
+	}
+	n.backendChangedLocked(a)
+	n.mu.Unlock()
+	n.log.Info("backend-server-heard", "id", a.Backend.ID, "born", a.Backend.Born, "sequence", a.Sequence, "gone", a.Gone,
+		"leaving", a.Leaving, "serving", heard == directory.HeardServing, "before", current.ID)
+	n.reviewBackend()
+	if heard == directory.HeardLeaving {
+		return n.record(a.Backend)
+	}
+	n.transport.Broadcast(n.ownNews())
+	n.group.Go("write-node", func(ctx context.Context) error {
+		n.writeNode(ctx)
+		return nil
+	})
+	return true
+}
+
+// ownNews tells other nodes what the own backend server has announced.
+func (n *Node) ownNews() []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	self := n.selfLocked()
+	return encode(notice{Node: &self})
+}
+
+// backendChangedLocked takes what a new or changed backend server states.
+func (n *Node) backendChangedLocked(a Announcement) {
+	if a.Slots > 0 {
+		n.slots = a.Slots
+	}
+	if a.Service != "" {
+		n.service = a.Service
+	}
+	n.limitLocked()
+}
+
+// limitLocked sets how many calls the own backend server runs at once.
+func (n *Node) limitLocked() {
+	_, state := n.tracker.Current()
+	if state != directory.Serving || !n.recovery.done {
+		return
+	}
+	limit := n.slots
+	if cfg := n.config.Load(); cfg != nil {
+		if s, ok := cfg.Service(n.service); ok && s.MaxConnections > 0 {
+			limit = min(limit, s.MaxConnections)
+		}
+	}
+	n.queue.Open()
+	// Calls wait only while every slot is in use, so a higher limit starts them at the next end of a call at the latest.
+	n.applyAsync(n.queue.SetLimit(limit))
+}
+
+// applyAsync carries out what the queue decided; it must be called with the lock held.
+func (n *Node) applyAsync(events []slots.Event) {
+	if ends := n.applyLocked(n.clock.Now(), events); len(ends) > 0 {
+		n.group.Go("tell", func(context.Context) error {
+			tell(ends)
+			return nil
+		})
+	}
+}
+
+// reviewBackend follows a change of the own backend server: calls that wait for one that takes none go elsewhere at once,
+// and other nodes are kept in mind by where they stand.
+func (n *Node) reviewBackend() {
+	n.mu.Lock()
+	_, state := n.tracker.Current()
+	if state != directory.Serving {
+		n.applyAsync(n.queue.Close())
+	} else {
+		n.limitLocked()
+	}
+	kept := n.directoryChangedLocked()
+	n.mu.Unlock()
+	n.transport.Connect(kept)
+}
+
+// record puts the leaving of the own backend server on record: in the store, or with other nodes while the store is away.
+func (n *Node) record(b directory.Incarnation) bool {
+	ctx, cancel := context.WithTimeout(n.group.Context(), recordTimeout)
+	defer cancel()
+	held := n.askToHold(b)
+	written := make(chan bool, 1)
+	n.group.Go("record-leaving", func(group context.Context) error {
+		written <- n.writeNode(group)
+		return nil
+	})
+	where := "store"
+	select {
+	case <-written:
+	case <-held:
+		where = "node"
+	case <-ctx.Done():
+		n.log.Warn("leaving-not-recorded", "id", b.ID)
+		return false
+	}
+	n.mu.Lock()
+	n.recovery.recorded = b
+	n.mu.Unlock()
+	n.log.Info("leaving-recorded", "id", b.ID, "where", where)
+	return true
+}
+
+// askToHold asks other nodes to keep a leaving; the channel is closed when one of them does.
+func (n *Node) askToHold(b directory.Incarnation) <-chan struct{} {
+	n.mu.Lock()
+	held, ok := n.holds[b]
+	if !ok {
+		held = make(chan struct{})
+		n.holds[b] = held
+	}
+	n.mu.Unlock()
+	n.transport.Broadcast(encode(notice{Hold: &leaving{Address: n.settings.CallsListen, Backend: b}}))
+	return held
+}
+
+// writeNode writes the row of this node until it stands in the store, and reports whether it does. Each write expects the
+// version that is known, so that one whose answer was lost and that takes effect late can't undo a later one.
+func (n *Node) writeNode(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		self := n.selfLocked()
+		entry, known := n.directory.Entry(self.Address)
+		n.mu.Unlock()
+		if known && !entry.Removed && entry.Node == self {
+			return true
+		}
+		expected := uint64(0)
+		if known && !entry.Removed {
+			expected = entry.Version
+		}
+		version, err := n.store.Write(ctx, nodesTable, Write{Key: self.Address, Value: encode(self), Expect: kernel.Some(expected)})
+		if err == nil {
+			n.log.Info("node-written", "state", self.State.String(), "id", self.Backend.ID, "version", version)
+			n.mergeRows([]directory.Entry{{Node: self, Version: version}})
+			continue
+		}
+		n.log.Warn("node-not-written", "expected", expected, "error", err)
+		if errors.Is(err, ErrConflict) {
+			if err := n.readDirectory(ctx); err == nil {
+				continue
+			}
+		}
+		wait(ctx, n.rand.Jitter(recordRetry, 0.5))
+	}
+	return false
+}
+
+// removeNode removes the row of this node, as its backend server has left.
+func (n *Node) removeNode(ctx context.Context) {
+	n.mu.Lock()
+	entry, known := n.directory.Entry(n.settings.CallsListen)
+	n.mu.Unlock()
+	if !known || entry.Removed {
+		return
+	}
+	_, err := n.store.Write(ctx, nodesTable, Write{Key: n.settings.CallsListen, Remove: true, Expect: kernel.Some(entry.Version)})
+	if err != nil && !errors.Is(err, ErrConflict) {
+		n.log.Warn("node-not-removed", "error", err)
+		return
+	}
+	n.log.Info("node-removed")
+}
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,59 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lovagelane/retry"
+)
+
+// Guards against nodes that together repeat more requests in some window than the deployment allows.
+func TestWindowsKeepTheSharedBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, fixed = 0.2, 50.0
+		const length = 10 * time.Second
+		nodes := make([]retry.Windows, rapid.IntRange(1, 8).Draw(t, "nodes"))
+		for i := range nodes {
+			nodes[i] = retry.Windows{Ratio: ratio, Fixed: fixed, Length: length}
+		}
+		start := time.Unix(1000, 0)
+		var requests, repeats []time.Time
+		now := start
+		for range 400 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			n := &nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+			n.Requested(now, "maps")
+			requests = append(requests, now)
+			if n.Take(now, "maps", 1, len(nodes)) {
+				repeats = append(repeats, now)
+			}
+		}
+		for i, from := range repeats {
+			inWindow, asked := 0, 0
+			for _, at := range repeats[i:] {
+				if at.Sub(from) < length {
+					inWindow++
+				}
+			}
+			for _, at := range requests {
+				if d := at.Sub(from); d >= -length && d < length {
+					asked++
+				}
+			}
+			require.LessOrEqual(t, float64(inWindow), ratio*float64(asked)+fixed)
+		}
+	})
+}
+
+// Guards against a repeat that brings many calls below and is counted as one.
+func TestWindowsCountTheCostOfARepeat(t *testing.T) {
+	w := retry.Windows{Ratio: 0.2, Fixed: 20, Length: 10 * time.Second}
+	now := time.Unix(1000, 0)
+	require.True(t, w.Take(now, "maps", 10, 1))
+	require.False(t, w.Take(now, "maps", 1, 1))
+	require.True(t, w.Take(now.Add(11*time.Second), "maps", 10, 1))
+	require.False(t, (&retry.Windows{}).Take(now, "maps", 1, 1))
+}
