--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -47,7 +47,7 @@
 // hear takes an announcement and reports whether it is acknowledged.
 func (n *Node) hear(a Announcement) bool {
 	n.mu.Lock()
-	current, state := n.tracker.Current()
+	current, _ := n.tracker.Current()
 	if a.Gone && a.Backend.Born == 0 {
 		if a.Backend.ID != current.ID {
 			n.mu.Unlock()
@@ -57,7 +57,7 @@
 	}
 	heard := n.tracker.Hear(a.Backend, a.Sequence, a.Gone || a.Leaving)
 	if heard == directory.HeardNothing {
-		current, state = n.tracker.Current()
+		current, state := n.tracker.Current()
 		recorded := state != directory.Leaving || current != a.Backend || n.recovery.recorded == current
 		n.mu.Unlock()
 		return recorded || n.record(a.Backend)
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -88,8 +88,8 @@
 	}
 	r, res := n.read(ctx)
 	if res == nil {
-		stop := func() {}
-		r.gone, stop = n.watch.Add(ctx.Conn())
+		gone, stop := n.watch.Add(ctx.Conn())
+		r.gone = gone
 		res = n.carry(r)
 		stop()
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -33,6 +33,8 @@
 	tick = 50 * time.Millisecond
 	// hangupTicks is the number of ticks after which the connections of waiting callers are checked.
 	hangupTicks = 3
+	// trimTicks is the number of ticks after which idle connections to the own backend server are closed.
+	trimTicks = 20
 	// maxBody bounds the body of a request or an answer that passes a node, in bytes. Bodies are held in memory, so that a
 	// call can be sent to another node.
 	maxBody = 4 << 20
@@ -99,7 +101,6 @@
 	splits     routing.Splits
 	windows    retry.Windows
 	poison     quarantine.Table
-	crashes    uint64
 	recovery   recovery
 	// behind is when another node was first heard to know more, by what it knows more of.
 	behind struct{ config, directory time.Time }
@@ -224,6 +225,9 @@
 		if count%hangupTicks == 0 {
 			n.watch.Check()
 		}
+		if count%trimTicks == 0 {
+			n.backend.trim(n.clock.Now())
+		}
 	}
 }
 
