Take no request that a stopping node can't finish, and wait by importance

A node that stops went on taking requests until its last moment, and those that were still running then lost their connection; and between the last check for requests under way and the end of the process another one could arrive. Processes hung past the grace because a feed of the store was waited for.

Change: after half of the grace only requests that end within it are taken, none after the last check, and the store's connections are closed at the end. A request that found no room after its wait asks other nodes that may have some; one that may have run is never refused as not run; requests that aren't of the least importance wait as long as they can still be answered, which replaces the guess by the address of the caller (callers and backend server share it on the platform).

--- a/cmd/lovagelane/mesh.go
+++ b/cmd/lovagelane/mesh.go
@@ -29,25 +29,23 @@
 	if err != nil {
 		return err
 	}
+	failed := make(chan error, 1)
 	group := kernel.NewGroup(context.Background())
-	group.Go("signals", func(ctx context.Context) error {
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case sig := <-signals:
-				if sig != syscall.SIGHUP {
-					return n.Stop()
-				}
-				reload(path, s, log)
+	group.Go("node", func(context.Context) error {
+		failed <- n.Wait()
+		return nil
+	})
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				return n.Stop()
 			}
+			reload(path, s, log)
 		}
-	})
-	err = n.Wait()
-	if stopErr := group.Stop(); err == nil {
-		err = stopErr
 	}
-	return err
 }
 
 // reload reads the settings again. What they state holds for a whole run of the process, so a change takes effect at the
--- a/kernel/group.go
+++ b/kernel/group.go
@@ -64,6 +64,26 @@
 	return g.Wait()
 }
 
+// StopWithin cancels the group's context and waits for its goroutines for at most d, so that a process can end although one
+// of them waits for the network.
+func (g *Group) StopWithin(d time.Duration) error {
+	g.cancel()
+	done := make(chan error, 1)
+	waiter := &errgroup.Group{}
+	waiter.Go(func() error {
+		done <- g.Wait()
+		return nil
+	})
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-timer.C:
+		return nil
+	}
+}
+
 // Wait waits for the group's goroutines and returns the first error other than cancellation.
 func (g *Group) Wait() error {
 	err := g.eg.Wait()
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -29,6 +30,19 @@
 	require.ErrorIs(t, g.Stop(), failed)
 }
 
+// Guards against a process that can't end because a goroutine waits for something that does not come.
+func TestGroupStopsWithinATime(t *testing.T) {
+	g := kernel.NewGroup(context.Background())
+	release := make(chan struct{})
+	defer close(release)
+	g.Go("hangs", func(context.Context) error { <-release; return nil })
+	require.NoError(t, g.StopWithin(10*time.Millisecond))
+	g = kernel.NewGroup(context.Background())
+	failed := errors.New("listen failed")
+	g.Go("fails", func(context.Context) error { return failed })
+	require.ErrorIs(t, g.StopWithin(time.Minute), failed)
+}
+
 // Guards against an unknown plug-in name that is accepted or reported without the valid names.
 func TestRegistryNamesItsPlugins(t *testing.T) {
 	var r kernel.Registry[int]
--- a/mesh/carry.go
+++ b/mesh/carry.go
@@ -21,15 +21,14 @@
 	if n.quarantined(r.digest) {
 		return refusedResult{why: "quarantined", retryAfter: longestWait}
 	}
-	var shortest time.Duration
 	for r.hops < maxHops {
 		now := n.clock.Now()
 		if !now.Before(r.deadline) {
-			return refusedResult{why: "deadline", retryAfter: shortest}
+			return r.refused("deadline")
 		}
 		choice, ok := n.choose(now, r)
 		if !ok {
-			return refusedResult{why: "no-backend-server", retryAfter: noRoomRetry}
+			return r.refused("no-room")
 		}
 		r.hops++
 		answer, lost := n.attempt(now, r, choice)
@@ -37,36 +36,67 @@
 			return lost
 		}
 		n.learn(r, choice.Address, answer)
-		switch answer.End {
-		case endAnswered:
-			return served{answer}
-		case endBusy:
-			r.waited += time.Duration(answer.WaitedMicros) * time.Microsecond
-			if wait := answer.Load.slots().Wait; shortest == 0 || wait < shortest {
-				shortest = wait
-			}
-			if r.waited >= r.within || choice.Wait >= r.within-r.waited {
-				return refusedResult{why: "no-room", retryAfter: shortest}
-			}
-		case endUnusable:
-			r.excluded = r.excluded.With(choice.Address)
-		case endQuarantined:
-			return refusedResult{why: "quarantined", retryAfter: longestWait}
-		case endExpired:
-			return refusedResult{why: "deadline", retryAfter: shortest}
-		case endRejected:
-			r.excluded = r.excluded.With(choice.Address)
-			if !n.mayRepeat(r, 1) {
-				return refusedResult{why: "rejected-" + answer.Why, retryAfter: minRetryAfter}
-			}
-		case endLost:
-			r.excluded = r.excluded.With(choice.Address)
-			if !r.route.Idempotent || answer.Crashed || !n.mayRepeat(r, 1+float64(answer.Nested)) {
-				return failedResult{why: answer.Why}
-			}
+		if res := n.next(r, choice, answer); res != nil {
+			return res
 		}
 	}
-	return refusedResult{why: "no-room", retryAfter: shortest}
+	return r.refused("no-room")
+}
+
+// next returns how the request ends after an attempt, or nil when another backend server is to be tried.
+func (n *Node) next(r *request, choice dispatch.Choice, a answerMessage) result {
+	switch a.End {
+	case endAnswered:
+		return served{a}
+	case endBusy:
+		r.busy(choice, a)
+	case endUnusable:
+		r.excluded = r.excluded.With(choice.Address)
+	case endQuarantined:
+		return r.refused("quarantined")
+	case endExpired:
+		return r.refused("deadline")
+	case endRejected:
+		r.excluded = r.excluded.With(choice.Address)
+		if !n.mayRepeat(r) {
+			return r.refused("rejected-" + a.Why)
+		}
+	case endLost:
+		r.mayHaveRun = true
+		r.excluded = r.excluded.With(choice.Address)
+		if !r.route.Idempotent || a.Crashed || !n.mayRepeat(r) {
+			return failedResult{why: a.Why}
+		}
+	}
+	return nil
+}
+
+// busy notes that a node had no room in time. It is asked again only if the request may wait there longer than before.
+func (r *request) busy(choice dispatch.Choice, a answerMessage) {
+	waited := time.Duration(a.WaitedMicros) * time.Microsecond
+	r.waited += waited
+	if wait := a.Load.slots().Wait; r.shortest == 0 || wait < r.shortest {
+		r.shortest = max(wait, minRetryAfter)
+	}
+	if waited >= choice.Wait || r.offered[choice.Address] >= choice.Wait {
+		r.excluded = r.excluded.With(choice.Address)
+	}
+	if r.offered == nil {
+		r.offered = map[string]time.Duration{}
+	}
+	r.offered[choice.Address] = choice.Wait
+}
+
+// refused is the end of a request that no backend server takes any more. Once one may have run it, the caller must not be
+// told that it has not run.
+func (r *request) refused(why string) result {
+	switch {
+	case r.mayHaveRun:
+		return failedResult{why: why}
+	case r.shortest == 0:
+		return refusedResult{why: why, retryAfter: noRoomRetry}
+	}
+	return refusedResult{why: why, retryAfter: r.shortest}
 }
 
 func (n *Node) choose(now time.Time, r *request) (dispatch.Choice, bool) {
@@ -77,14 +107,14 @@
 }
 
 // mayRepeat takes a repeat from the shared budget when the route allows another backend server.
-func (n *Node) mayRepeat(r *request, cost float64) bool {
+func (n *Node) mayRepeat(r *request) bool {
 	now := n.clock.Now()
 	if r.sent >= r.route.MaxAttempts || r.deadline.Sub(now) < minRetryAfter {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	ok := n.windows.Take(now, r.service, cost, len(n.directory.Nodes()))
+	ok := n.windows.Take(now, r.service, 1, len(n.directory.Nodes()))
 	if ok {
 		n.metrics.Add("repeats", 1, r.service)
 	} else {
@@ -129,7 +159,7 @@
 // time ran out.
 func (n *Node) attempt(now time.Time, r *request, choice dispatch.Choice) (answerMessage, result) {
 	m := callMessage{Service: r.service, Route: r.route.Name, RequestID: r.id, Caller: n.settings.Service, Rank: r.route.Rank,
-		Nested: r.nested, Idempotent: r.route.Idempotent, RemainingMS: r.deadline.Sub(now).Milliseconds(),
+		Idempotent: r.route.Idempotent, RemainingMS: r.deadline.Sub(now).Milliseconds(),
 		WaitMS: choice.Wait.Milliseconds(), Digest: r.digest, Head: r.head, Body: r.body}
 	if choice.Region {
 		n.metrics.Add("calls-to-other-regions", 1, r.service)
--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -118,4 +118,6 @@
 	List(ctx context.Context, table string) ([]Row, uint64, error)
 	// Feed waits for changes after a version and returns them with the version to go on from.
 	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error)
+	// Close ends the calls that wait for an answer.
+	Close()
 }
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -21,10 +21,10 @@
 	// answerMargin is how long after the deadline the answer of a backend server is still waited for: the backend server
 	// works until the deadline, and its answer may cross regions.
 	answerMargin = 50 * time.Millisecond
-	// waitShare is the part of the objective that a request may wait for a slot.
+	// waitShare is the part of the objective that a request of the least importance may wait for a slot.
 	waitShare = 0.25
-	// urgentWaitShare is that part for requests of the highest importance.
-	urgentWaitShare = 0.5
+	// runReserve is the number of typical run times that more important requests keep for their run.
+	runReserve = 2
 	// noConfigRetry is when a request may come back that met a node without a configuration.
 	noConfigRetry = time.Second
 	// maxIDText bounds the id of a request, in bytes.
@@ -36,7 +36,6 @@
 	id       string
 	route    *routing.Route
 	service  string
-	nested   bool
 	arrived  time.Time
 	deadline time.Time
 	digest   uint64
@@ -45,7 +44,13 @@
 	gone     <-chan struct{}
 	// within is how long the request may wait for a slot in all, and waited how long it has.
 	within, waited time.Duration
-	excluded       kernel.Set[string]
+	// shortest is the shortest wait that a node without room told.
+	shortest time.Duration
+	// excluded are the nodes that are not asked again, and offered is how long the request could have waited at a node.
+	excluded kernel.Set[string]
+	offered  map[string]time.Duration
+	// mayHaveRun is set once the answer of a backend server was lost.
+	mayHaveRun bool
 	// sent counts the backend servers that the request was sent to.
 	sent int
 	// hops counts the nodes that were asked.
@@ -82,11 +87,10 @@
 	if n.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
-	if n.closing.Load() {
-		n.write(ctx, nil, refusedResult{why: "closing", retryAfter: noConfigRetry})
-		return
-	}
 	r, res := n.read(ctx)
+	if end := n.ends.Load(); res == nil && end != nil && r.deadline.After(*end) {
+		res = refusedResult{why: "stopping", retryAfter: noConfigRetry}
+	}
 	if res == nil {
 		gone, stop := n.watch.Add(ctx.Conn())
 		r.gone = gone
@@ -125,37 +129,32 @@
 	r.deadline = now.Add(remaining)
 	r.body = ctx.Request.Body()
 	r.digest = call.Digest(string(h.Method()), string(h.Host())+string(h.RequestURI()), r.body)
-	r.nested = n.fromBackend(ctx)
 	r.head = headOf(h, len(r.body))
 	n.plan(now, r, remaining)
 	return r, nil
 }
 
-// fromBackend reports whether a request is a call of the own backend server.
-func (n *Node) fromBackend(ctx *fasthttp.RequestCtx) bool {
-	host, _, err := net.SplitHostPort(n.settings.BackendServer)
-	return err == nil && ctx.RemoteIP().String() == host
-}
-
 // plan chooses the service and how long the request may wait for a slot.
 func (n *Node) plan(now time.Time, r *request, remaining time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r.service = n.splits.Next(r.route, n.rand)
 	n.windows.Requested(now, r.service)
-	objective := r.route.Objective
+	r.within = waitOf(r.route, remaining, n.chooser.Typical(r.route.Name), n.config.Load().LeastRank())
+}
+
+// waitOf returns how long a request may wait for a slot. One of the least importance is told early that there is no room,
+// while its caller has time to come back; others wait as long as they can still be answered, since they start first.
+func waitOf(route *routing.Route, remaining, typical time.Duration, least int) time.Duration {
+	objective := route.Objective
 	if objective == 0 {
 		objective = remaining
 	}
-	share := waitShare
-	if r.route.Rank == 0 {
-		share = urgentWaitShare
-	}
-	r.within = min(time.Duration(share*float64(objective)), remaining/2)
-	if r.nested {
-		// The work of the request above is lost with a nested call, so it waits as long as it can still be answered.
-		r.within = max(r.within, remaining-2*n.chooser.Typical(r.route.Name))
+	early := min(time.Duration(waitShare*float64(objective)), remaining/2)
+	if route.Rank >= least {
+		return early
 	}
+	return max(early, remaining-runReserve*typical)
 }
 
 // headOf returns the request line and the headers that are passed on.
@@ -237,7 +236,7 @@
 	route := ""
 	line := []any{"status", status, "why", why}
 	if r != nil {
-		line = append(line, "request", r.id, "nested", r.nested, "asked", r.hops, "sent", r.sent, "took", n.clock.Now().Sub(r.arrived),
+		line = append(line, "request", r.id, "asked", r.hops, "sent", r.sent, "took", n.clock.Now().Sub(r.arrived),
 			"waited", r.waited)
 		if r.route != nil {
 			route = r.route.Name
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -17,7 +17,6 @@
 	RequestID  string `cbor:"3,keyasint"`
 	Caller     string `cbor:"4,keyasint"`
 	Rank       int    `cbor:"5,keyasint,omitempty"`
-	Nested     bool   `cbor:"6,keyasint,omitempty"`
 	Idempotent bool   `cbor:"7,keyasint,omitempty"`
 	// RemainingMS is the time until the deadline, and WaitMS how long the call may wait for its start.
 	RemainingMS int64  `cbor:"8,keyasint"`
@@ -67,8 +66,6 @@
 	Why string `cbor:"8,keyasint,omitempty"`
 	// Crashed is set when the backend server crashed while it ran the call.
 	Crashed bool `cbor:"9,keyasint,omitempty"`
-	// Nested is how many calls a run of this service makes on average.
-	Nested float32 `cbor:"10,keyasint,omitempty"`
 	// unreachable is set by the sender when the node itself gave no answer.
 	unreachable bool
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -52,6 +52,8 @@
 	// workers bounds the calls that run at the own backend server at once, and queuedRuns those that wait for a worker.
 	workers    = 4096
 	queuedRuns = 4096
+	// abortTimeout bounds the wait for listeners to close when a node is ended at once.
+	abortTimeout = time.Second
 	// neighbours is the number of nodes on each ring that a connection is kept to.
 	neighbours = 2
 )
@@ -85,8 +87,8 @@
 	servers    []*fasthttp.Server
 	config     atomic.Pointer[routing.Config]
 	stopping   atomic.Bool
-	// closing is set in the last moment of a stop, when connections are closed.
-	closing  atomic.Bool
+	// ends is set in the last part of a stop, in which only requests that end before it are taken.
+	ends     atomic.Pointer[time.Time]
 	requests atomic.Int64
 
 	mu sync.Mutex
@@ -238,8 +240,8 @@
 		ctx.Error("not found: ask "+n.deployment.ReadyPath(), fasthttp.StatusNotFound)
 	case n.stopping.Load():
 		ctx.Error("the node is stopping: use another one", fasthttp.StatusServiceUnavailable)
-	case n.config.Load() == nil:
-		ctx.Error("no configuration is in force yet: ask again", fasthttp.StatusServiceUnavailable)
+	case n.config.Load() == nil || !n.recovered():
+		ctx.Error("the node has not learned yet what holds: ask again", fasthttp.StatusServiceUnavailable)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusOK)
 	}
@@ -309,3 +311,18 @@
 
 // Wait returns when the node has failed or was stopped.
 func (n *Node) Wait() error { return n.group.Wait() }
+
+// Known returns the number of nodes that this one knows, itself included.
+func (n *Node) Known() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.directory.Nodes())
+}
+
+// Abort ends the node at once, as when its process is killed.
+func (n *Node) Abort() {
+	n.stopping.Store(true)
+	n.closeServers(0)
+	n.store.Close()
+	_ = n.group.StopWithin(abortTimeout) // A killed process tells nobody either.
+}
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -72,7 +72,7 @@
 		return n.answerLocked(j, endQuarantined, "quarantined"), true
 	}
 	latest := now.Add(time.Duration(j.m.WaitMS) * time.Millisecond)
-	switch n.queue.Arrive(now, slots.Call{ID: j.id, Rank: j.m.Rank, Nested: j.m.Nested, Latest: latest}).(type) {
+	switch n.queue.Arrive(now, slots.Call{ID: j.id, Rank: j.m.Rank, Latest: latest}).(type) {
 	case slots.Start:
 		n.jobs[j.id] = j
 		n.startLocked(now, j)
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -11,8 +11,8 @@
 	// defaultGrace is the time to stop when the deployment states none.
 	defaultGrace = 6 * time.Second
 	// leaveTime is how long a stopping node goes on taking requests: callers are told by the readiness question, which is
-	// asked once a second and must fail twice.
-	leaveTime = 3 * time.Second
+	// asked once a second and must fail twice. After that only requests that end within the grace are taken.
+	leaveTime = 2800 * time.Millisecond
 	// stopReserve is the end of the grace in which connections are closed.
 	stopReserve = 500 * time.Millisecond
 	// stopCheck is the period at which a stopping node checks whether anything is under way.
@@ -39,24 +39,41 @@
 		n.removeNode(ctx)
 		cancel()
 	}
-	ctx, cancel := context.WithDeadline(n.group.Context(), time.Now().Add(grace-stopReserve))
+	ctx, cancel := context.WithTimeout(n.group.Context(), grace-stopReserve)
 	defer cancel()
-	wait(ctx, leaveTime)
-	for ctx.Err() == nil && n.underWay() > 0 {
-		wait(ctx, stopCheck)
-	}
+	wait(ctx, min(leaveTime, grace/2))
+	n.takeUntil(start.Add(grace - stopReserve - answerMargin))
+	n.finishAll(ctx)
+	// A request that arrives from here on would lose its connection.
+	n.takeUntil(start)
+	n.finishAll(ctx)
 	left := n.underWay()
-	n.closing.Store(true)
-	closing, cancelClosing := context.WithTimeout(context.Background(), stopReserve/2)
-	defer cancelClosing()
-	for _, s := range n.servers {
-		_ = s.ShutdownWithContext(closing) // Connections that are still open are closed with the process.
-	}
-	err := n.group.Stop()
+	n.closeServers(stopReserve / 4)
+	n.store.Close()
+	err := n.group.StopWithin(stopReserve / 4)
 	n.log.Info("node-stopped", "took", n.clock.Now().Sub(start), "cut-off", left)
 	return err
 }
 
+// closeServers closes listeners and connections; those that a request is under way on get the given time.
+func (n *Node) closeServers(grace time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	for _, s := range n.servers {
+		_ = s.ShutdownWithContext(ctx) // Connections that are still open are closed with the process.
+	}
+}
+
+// takeUntil has requests refused that may end later.
+func (n *Node) takeUntil(end time.Time) { n.ends.Store(&end) }
+
+// finishAll waits until nothing is under way or ctx ends.
+func (n *Node) finishAll(ctx context.Context) {
+	for ctx.Err() == nil && n.underWay() > 0 {
+		wait(ctx, stopCheck)
+	}
+}
+
 // underWay returns the number of requests and calls that are not finished.
 func (n *Node) underWay() int {
 	n.mu.Lock()
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -214,3 +214,10 @@
 		}
 	}
 }
+
+// recovered reports whether the node knows what it did before its start.
+func (n *Node) recovered() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.recovery.done
+}
--- a/routing/config.go
+++ b/routing/config.go
@@ -62,6 +62,8 @@
 	// byHost holds the routes of a host, the longest prefix first.
 	byHost map[string][]*Route
 	routes []*Route
+	// least is the rank of the least important route.
+	least int
 }
 
 // New checks the parts of a configuration and returns it.
@@ -79,6 +81,7 @@
 		r.MaxAttempts = max(r.MaxAttempts, 1)
 		c.byHost[r.Host] = append(c.byHost[r.Host], &r)
 		c.routes = append(c.routes, &r)
+		c.least = max(c.least, r.Rank)
 	}
 	for _, list := range c.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -118,6 +121,9 @@
 // Routes returns all routes; the result must not be changed.
 func (c *Config) Routes() []*Route { return c.routes }
 
+// LeastRank returns the rank of the least important routes.
+func (c *Config) LeastRank() int { return c.least }
+
 // Service returns a service by name.
 func (c *Config) Service(name string) (Service, bool) {
 	s, ok := c.services[name]
--- a/slots/heap.go
+++ b/slots/heap.go
@@ -13,9 +13,6 @@
 	if e.call.Rank != other.call.Rank {
 		return e.call.Rank < other.call.Rank
 	}
-	if e.call.Nested != other.call.Nested {
-		return e.call.Nested
-	}
 	return e.seq < other.seq
 }
 
--- a/slots/queue.go
+++ b/slots/queue.go
@@ -20,9 +20,6 @@
 	ID uint64
 	// Rank is the importance; 0 runs first.
 	Rank int
-	// Nested calls come from a backend server that runs a request for them. They run before calls of the same rank that
-	// come from outside, because refusing them wastes the work that was done already.
-	Nested bool
 	// Latest is the time until which the call may wait for its start.
 	Latest time.Time
 }
