--- a/command/operations_test.go
+++ b/command/operations_test.go
@@ -27,7 +27,7 @@
 
 // Guards against a refusal, log event, metric, command, flag or key that operators meet and cannot look up.
 func TestOperationsPageIsComplete(t *testing.T) {
-	text, err := os.ReadFile("../docs/operations.md")
+	text, err := os.ReadFile("../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	page := string(text)
 	for kind, d := range documented {
@@ -50,7 +50,7 @@
 			if kind == "flag" {
 				name = "--" + name
 			}
-			require.True(t, strings.Contains(page, "`"+name+"`"), "docs/operations.md lacks the %s %s", kind, name)
+			require.True(t, strings.Contains(page, "`"+name+"`"), "docs/OPERATIONS.md lacks the %s %s", kind, name)
 		}
 	}
 }
