--- a/mesh/carry.go
+++ b/mesh/carry.go
@@ -187,7 +187,7 @@
 // attemptHere runs the call at the own backend server.
 func (n *Node) attemptHere(m callMessage, gone <-chan struct{}, timeout <-chan time.Time) (answerMessage, result) {
 	done := make(chan answerMessage, 1)
-	j := n.submit(m, func(a answerMessage) { done <- a })
+	j := n.submit(m, false, func(a answerMessage) { done <- a })
 	select {
 	case a := <-done:
 		return a, nil
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -19,6 +19,7 @@
 	n        *Node
 	id       uint64
 	m        callMessage
+	other    bool
 	arrived  time.Time
 	deadline time.Time
 	settle   func(answerMessage)
@@ -39,14 +40,15 @@
 		c.Answer(encode(answerMessage{End: endUnusable, Why: "call-malformed"}))
 		return
 	}
-	j := n.submit(m, func(a answerMessage) { c.Answer(encode(a)) })
+	j := n.submit(m, true, func(a answerMessage) { c.Answer(encode(a)) })
 	c.OnCancel(j.cancel)
 }
 
-// submit asks for a slot of the own backend server. The end is told to settle, from another goroutine when it comes later.
-func (n *Node) submit(m callMessage, settle func(answerMessage)) *job {
+// submit asks for a slot of the own backend server for a call of this node, or of another one. The end is told to settle,
+// from another goroutine when it comes later.
+func (n *Node) submit(m callMessage, other bool, settle func(answerMessage)) *job {
 	now := n.clock.Now()
-	j := &job{n: n, m: m, arrived: now, deadline: now.Add(time.Duration(m.RemainingMS) * time.Millisecond), settle: settle}
+	j := &job{n: n, m: m, other: other, arrived: now, deadline: now.Add(time.Duration(m.RemainingMS) * time.Millisecond), settle: settle}
 	n.mu.Lock()
 	n.nextJob++
 	j.id = n.nextJob
@@ -62,7 +64,7 @@
 func (n *Node) arriveLocked(now time.Time, j *job) (answerMessage, bool) {
 	_, state := n.tracker.Current()
 	switch {
-	case n.stopping.Load() && j.m.Caller != n.settings.Service:
+	case n.stopping.Load() && j.other:
 		return n.answerLocked(j, endUnusable, "stopping"), true
 	case j.m.Service != n.service:
 		return n.answerLocked(j, endUnusable, "other-service"), true
