Pass over backend servers that reject or lose calls while others have room

Change: the share of failures, halved every 3 s without calls, counts as twice the objective in the choice.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"lovagelane/balance"
@@ -29,6 +30,11 @@
 	minRatio, maxRatio = 0.1, 8
 	// ratioHalfLife is the time without answers in which a slow backend server is half forgiven, so that it is tried again.
 	ratioHalfLife = 3 * time.Second
+	// failureGain is the part by which one end moves the share of failures of a backend server.
+	failureGain = 0.15
+	// failureCost is what a failure costs, as a multiple of the objective: the call is late at best, and the work above it is
+	// lost at worst.
+	failureCost = 2
 	// typicalGain is the part by which one answer moves the typical run time of a route.
 	typicalGain = 0.05
 	// firstTypical stands for the typical run time of a route without answers.
@@ -84,12 +90,16 @@
 // Unusable means that the backend server can't be reached or takes no calls.
 type Unusable struct{}
 
+// Failed means that the backend server was reached and gave no answer that counts.
+type Failed struct{}
+
 // Ended means that nothing was learned, because the caller left or the time ran out.
 type Ended struct{}
 
 func (Answered) outcome() {}
 func (Busy) outcome()     {}
 func (Unusable) outcome() {}
+func (Failed) outcome()   {}
 func (Ended) outcome()    {}
 
 // Chooser holds what is known of all backend servers; the caller serializes access to it. Its zero value knows none.
@@ -109,6 +119,9 @@
 	// ratio is the run time relative to what is typical; 0 while unknown.
 	ratio   float64
 	ratioAt time.Time
+	// failures is the share of calls that failed.
+	failures   float64
+	failuresAt time.Time
 	avoided time.Time
 	backoff time.Duration
 }
@@ -184,6 +197,7 @@
 	case place != c.home:
 		cost += zoneRoundTrip + time.Duration(zoneShare*float64(objective))
 	}
+	cost += time.Duration(failureCost * p.failing(now) * float64(objective))
 	// Equal candidates are told apart by load, then by chance.
 	cost += time.Duration(useShare * p.use() * float64(typical))
 	return cost + time.Duration(random.IntN(int(time.Millisecond)))
@@ -235,6 +249,19 @@
 	return ratio
 }
 
+// failing returns the share of calls that fail; without calls it halves, so that the backend server is tried again.
+func (p *peer) failing(now time.Time) float64 {
+	if p.failures == 0 {
+		return 0
+	}
+	return p.failures * math.Exp2(-now.Sub(p.failuresAt).Seconds()/ratioHalfLife.Seconds())
+}
+
+func (p *peer) fail(now time.Time, failed float64) {
+	share := p.failing(now)
+	p.failures, p.failuresAt = share+(failed-share)*failureGain, now
+}
+
 // Report takes the room that a node told of its backend server.
 func (c *Chooser) Report(now time.Time, address string, l slots.Load) {
 	if p := c.peers[address]; p != nil {
@@ -251,6 +278,7 @@
 	switch o := o.(type) {
 	case Answered:
 		p.avoided, p.backoff = time.Time{}, 0
+		p.fail(now, 0)
 		c.learnRun(now, p, o)
 	case Unusable:
 		if now.Before(p.avoided) {
@@ -258,6 +286,8 @@
 		}
 		p.backoff = min(longestAvoidance, max(firstAvoidance, 2*p.backoff))
 		p.avoided = now.Add(p.backoff)
+	case Failed:
+		p.fail(now, 1)
 	case Busy, Ended:
 	}
 }
--- a/dispatch/chooser_test.go
+++ b/dispatch/chooser_test.go
@@ -97,3 +97,19 @@
 	require.False(t, ok)
 	require.Equal(t, "near", choose(t, c, start.Add(time.Second), query).Address)
 }
+
+// Guards against calls that stay with a backend server near by that rejects half of them, when another one has room, and
+// against one that is left for good.
+func TestRejectingBackendServerIsLeftAndTriedAgain(t *testing.T) {
+	c := chooser()
+	for i := range 20 {
+		o := dispatch.Outcome(dispatch.Failed{})
+		if i%2 == 0 {
+			o = dispatch.Answered{Route: "read", Ran: 50 * time.Millisecond}
+		}
+		c.Learn(start, "near", o)
+		c.Learn(start, "zone", o)
+	}
+	require.Equal(t, "far", choose(t, c, start, query).Address)
+	require.Equal(t, "near", choose(t, c, start.Add(20*time.Second), query).Address)
+}
--- a/mesh/carry.go
+++ b/mesh/carry.go
@@ -140,12 +140,9 @@
 		o = dispatch.Busy{}
 	case endUnusable:
 		o = dispatch.Unusable{}
-	case endRejected:
+	case endRejected, endLost:
 		r.sent++
-		o = dispatch.Unusable{}
-	case endLost:
-		r.sent++
-		o = dispatch.Ended{}
+		o = dispatch.Failed{}
 		if a.unreachable {
 			o = dispatch.Unusable{}
 		}
