--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -174,7 +174,7 @@
 		n.holds[b] = held
 	}
 	n.mu.Unlock()
-	n.transport.Broadcast(encode(notice{Hold: &leaving{Address: n.settings.CallsListen, Backend: b}}))
+	n.transport.Broadcast(encode(notice{Hold: &leaving{Address: n.settings.CallsAddress, Backend: b}}))
 	return held
 }
 
@@ -213,12 +213,12 @@
 // removeNode removes the row of this node, as its backend server has left.
 func (n *Node) removeNode(ctx context.Context) {
 	n.mu.Lock()
-	entry, known := n.directory.Entry(n.settings.CallsListen)
+	entry, known := n.directory.Entry(n.settings.CallsAddress)
 	n.mu.Unlock()
 	if !known || entry.Removed {
 		return
 	}
-	_, err := n.store.Write(ctx, nodesTable, Write{Key: n.settings.CallsListen, Remove: true, Expect: kernel.Some(entry.Version)})
+	_, err := n.store.Write(ctx, nodesTable, Write{Key: n.settings.CallsAddress, Remove: true, Expect: kernel.Some(entry.Version)})
 	if err != nil && !errors.Is(err, ErrConflict) {
 		n.log.Warn("node-not-removed", "error", err)
 		return
--- a/mesh/carry.go
+++ b/mesh/carry.go
@@ -165,7 +165,7 @@
 	}
 	timer := time.NewTimer(r.deadline.Add(answerMargin).Sub(now))
 	defer timer.Stop()
-	if choice.Address == n.settings.CallsListen {
+	if choice.Address == n.settings.CallsAddress {
 		return n.attemptHere(m, r.gone, timer.C)
 	}
 	p := n.transport.Peer(choice.Address).Call(encode(m))
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -123,7 +123,7 @@
 	if m.Holding != nil {
 		n.held(m.Holding.Backend)
 	}
-	if m.Left != nil && m.Left.Address == n.settings.CallsListen {
+	if m.Left != nil && m.Left.Address == n.settings.CallsAddress {
 		n.log.Info("leaving-told", "id", m.Left.Backend.ID)
 		n.mu.Lock()
 		n.leftLocked(m.Left.Backend)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -128,7 +128,7 @@
 	n.group.Go("sync-directory", n.syncDirectory)
 	n.group.Go("recovery", n.recover)
 	n.log.Info("node-started", "service", n.settings.Service, "availability-zone", n.settings.AvailabilityZone,
-		"callers", n.settings.CallersListen, "calls", n.settings.CallsListen, "deployment", n.settings.Deployment)
+		"callers", n.settings.CallersListen, "calls", n.settings.CallsAddress, "deployment", n.settings.Deployment)
 	return n, nil
 }
 
@@ -261,7 +261,7 @@
 // self returns what this node states of itself.
 func (n *Node) selfLocked() directory.Node {
 	backend, state := n.tracker.Current()
-	return directory.Node{Address: n.settings.CallsListen, Service: n.service, Region: n.settings.Region,
+	return directory.Node{Address: n.settings.CallsAddress, Service: n.service, Region: n.settings.Region,
 		AvailabilityZone: n.settings.AvailabilityZone, Slots: n.slots, State: state, Backend: backend}
 }
 
@@ -270,7 +270,7 @@
 	home := balance.Place{Region: n.settings.Region, AvailabilityZone: n.settings.AvailabilityZone}
 	var candidates []dispatch.Candidate
 	for _, node := range n.directory.Nodes() {
-		if node.State == directory.Serving && node.Address != n.settings.CallsListen {
+		if node.State == directory.Serving && node.Address != n.settings.CallsAddress {
 			candidates = append(candidates, candidateOf(node))
 		}
 	}
@@ -278,7 +278,7 @@
 		candidates = append(candidates, candidateOf(self))
 	}
 	n.chooser.Update(home, candidates)
-	return n.directory.Neighbours(n.settings.CallsListen, n.settings.Region, neighbours)
+	return n.directory.Neighbours(n.settings.CallsAddress, n.settings.Region, neighbours)
 }
 
 func candidateOf(node directory.Node) dispatch.Candidate {
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -160,7 +160,7 @@
 	n.mu.Lock()
 	n.behind.directory = time.Time{}
 	kept := n.directoryChangedLocked()
-	own, known := n.directory.Entry(n.settings.CallsListen)
+	own, known := n.directory.Entry(n.settings.CallsAddress)
 	if known && own.Node.State == directory.Leaving {
 		n.leftLocked(own.Node.Backend)
 	}
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -23,7 +23,7 @@
 		Name: "mesh",
 		Required: []string{"deployment", "service", "availability-zone", "region", "backend-server", "callers-listen", "ready-listen",
 			"announce-listen", "calls-listen", "store"},
-		Optional: []string{"admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window"},
+		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window"},
 	},
 }
 
@@ -44,6 +44,8 @@
 	AnnounceListen string
 	// CallsListen takes the connections of other nodes.
 	CallsListen string
+	// CallsAddress is where other nodes reach CallsListen.
+	CallsAddress string
 	// AdminListen serves metrics; empty means that they are not served.
 	AdminListen string
 	// Store is the address of the operators' store.
@@ -107,6 +109,10 @@
 		CallsListen:      r.announced(s, "calls-listen"),
 		Store:            r.peer(s, "store"),
 	}
+	m.CallsAddress = m.CallsListen
+	if _, ok := s.Value("calls-address"); ok {
+		m.CallsAddress = r.peer(s, "calls-address")
+	}
 	if _, ok := s.Value("admin-listen"); ok {
 		m.AdminListen = text(r.address(s, "admin-listen"))
 	}
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -98,7 +98,7 @@
 }
 
 func (b *Bed) start(name, program string, args ...string) (*Process, error) {
-	p := newProcess(b.group, name, b.dir, filepath.Join(b.opt.Bin, program), args...)
+	p := NewProcess(b.group, name, b.dir, filepath.Join(b.opt.Bin, program), args...)
 	if err := p.Start(); err != nil {
 		return nil, err
 	}
--- a/testbed/process.go
+++ b/testbed/process.go
@@ -31,8 +31,8 @@
 	ended chan struct{}
 }
 
-// newProcess describes a process without starting it; its output is appended to NAME.log in dir.
-func newProcess(g *kernel.Group, name, dir, bin string, args ...string) *Process {
+// NewProcess describes a process without starting it; its output is appended to NAME.log in dir.
+func NewProcess(g *kernel.Group, name, dir, bin string, args ...string) *Process {
 	return &Process{Name: name, group: g, bin: bin, args: args, log: filepath.Join(dir, name+".log")}
 }
 
@@ -119,6 +119,9 @@
 // Resume continues a frozen process.
 func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
 
+// Hangup tells the process that its settings may have changed.
+func (p *Process) Hangup() error { return p.signal(syscall.SIGHUP) }
+
 // Terminate asks the process to stop, also when it is frozen.
 func (p *Process) Terminate() error {
 	if err := p.signal(syscall.SIGTERM); err != nil {
--- a/testbed/relay.go
+++ b/testbed/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"lovagelane/kernel"
 )
@@ -18,10 +19,13 @@
 	links kernel.Set[*link]
 	// refuse closes new connections at once.
 	refuse bool
+	// delay is added to each piece that is passed on.
+	delay time.Duration
 }
 
 // link is one relayed connection.
 type link struct {
+	r       *Relay
 	in, out net.Conn
 	silent  chan struct{}
 	once    sync.Once
@@ -70,6 +74,19 @@
 	r.refuse = refuse
 }
 
+// Delay holds each piece back for a time, in both directions.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+func (r *Relay) delayed() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delay
+}
+
 func (r *Relay) open() []*link {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -108,7 +125,7 @@
 		}
 		return
 	}
-	l := &link{in: in, out: out, silent: make(chan struct{}), ended: make(chan struct{})}
+	l := &link{r: r, in: in, out: out, silent: make(chan struct{}), ended: make(chan struct{})}
 	r.mu.Lock()
 	r.links[l] = struct{}{}
 	r.mu.Unlock()
@@ -146,6 +163,9 @@
 			return
 		default:
 		}
+		if d := l.r.delayed(); d > 0 {
+			time.Sleep(d)
+		}
 		if n > 0 {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				return
--- a/testbed/testbed_test.go
+++ b/testbed/testbed_test.go
@@ -26,7 +26,7 @@
 
 func startChild(t *testing.T, g *kernel.Group) *Process {
 	t.Setenv("TESTBED_CHILD", "yes")
-	p := newProcess(g, "child", t.TempDir(), os.Args[0])
+	p := NewProcess(g, "child", t.TempDir(), os.Args[0])
 	require.NoError(t, p.Start())
 	t.Cleanup(func() { require.NoError(t, p.Kill()) })
 	return p
