Never wait for the reader of the logs, and write more lines about single requests

A mesh node's lines go through a bounded buffer that counts what a slow reader missed, and the events about single requests have a bound of 50 lines a second, so that a caller's complaint can be traced by its id.

--- a/cmd/lovagelane/mesh.go
+++ b/cmd/lovagelane/mesh.go
@@ -22,7 +22,10 @@
 	if _, ok := os.LookupEnv("GOMEMLIMIT"); !ok && s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	}
-	log := event.New(os.Stdout, kernel.SystemClock{})
+	group := kernel.NewGroup(context.Background())
+	buffer := event.NewBuffer(group, os.Stdout)
+	defer buffer.Flush()
+	log := event.New(buffer, kernel.SystemClock{})
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	n, err := mesh.Start(context.Background(), mesh.Options{Settings: s, Log: log})
@@ -30,7 +33,6 @@
 		return err
 	}
 	failed := make(chan error, 1)
-	group := kernel.NewGroup(context.Background())
 	group.Go("node", func(context.Context) error {
 		failed <- n.Wait()
 		return nil
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -122,8 +122,8 @@
 	// failures is the share of calls that failed.
 	failures   float64
 	failuresAt time.Time
-	avoided time.Time
-	backoff time.Duration
+	avoided    time.Time
+	backoff    time.Duration
 }
 
 // Update replaces the candidates and keeps what is known of those that remain.
--- a/event/log.go
+++ b/event/log.go
@@ -29,11 +29,16 @@
 
 	mu     sync.Mutex
 	bounds map[string]*bound
+	// rates holds the lines a second of events that have a rate of their own.
+	rates map[string]int
 }
 
 // bound is a token bucket that counts the lines that it held back.
 type bound struct {
-	tokens     int
+	tokens int
+	// burst is the largest number of tokens, and refill the time in which one more comes.
+	burst      int
+	refill     time.Duration
 	filled     time.Time
 	suppressed int64
 }
@@ -49,6 +54,21 @@
 	return &Log{clock: clock, logger: logger, bounds: map[string]*bound{}}
 }
 
+// Allow gives events a bound of their own, in lines a second; call it before the first line.
+func (l *Log) Allow(rate int, events ...string) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rates == nil {
+		l.rates = map[string]int{}
+	}
+	for _, event := range events {
+		l.rates[event] = rate
+	}
+}
+
 // Info writes an event that needs no action; pairs are alternating keys and values.
 func (l *Log) Info(event string, pairs ...any) { l.write(log.InfoLevel, event, pairs) }
 
@@ -98,16 +118,19 @@
 		b = l.bounds[event]
 	}
 	if b == nil {
-		b = &bound{tokens: burst, filled: now}
+		b = &bound{tokens: burst, burst: burst, refill: refill, filled: now}
+		if rate := l.rates[event]; rate > 0 {
+			b.tokens, b.burst, b.refill = rate, rate, time.Second/time.Duration(rate)
+		}
 		l.bounds[event] = b
 	}
 	return b
 }
 
 func (b *bound) take(now time.Time) (suppressed int64, ok bool) {
-	if n := int64(now.Sub(b.filled) / refill); n > 0 {
-		b.tokens = int(min(int64(b.tokens)+n, burst))
-		b.filled = b.filled.Add(time.Duration(n) * refill)
+	if n := int64(now.Sub(b.filled) / b.refill); n > 0 {
+		b.tokens = int(min(int64(b.tokens)+n, int64(b.burst)))
+		b.filled = b.filled.Add(time.Duration(n) * b.refill)
 	}
 	if b.tokens == 0 {
 		b.suppressed++
--- a/event/log_test.go
+++ b/event/log_test.go
@@ -122,3 +122,22 @@
 	require.NoError(t, g.Wait())
 	require.Equal(t, 40, strings.Count(out.String(), " key=value\n"))
 }
+
+// Guards against lines about single requests that are held back as much as other events, so that a request can't be traced.
+func TestAllowGivesAnEventItsOwnBound(t *testing.T) {
+	var out bytes.Buffer
+	clock := &kernel.ManualClock{}
+	l := event.New(&out, clock)
+	l.Allow(50, "request-refused")
+	for range 200 {
+		l.Info("request-refused")
+		l.Info("other")
+	}
+	require.Equal(t, 50, strings.Count(out.String(), "event=request-refused"))
+	require.Equal(t, 10, strings.Count(out.String(), "event=other"))
+	clock.Advance(time.Second)
+	for range 200 {
+		l.Info("request-refused")
+	}
+	require.Equal(t, 100, strings.Count(out.String(), "event=request-refused"))
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -54,6 +54,8 @@
 	queuedRuns = 4096
 	// abortTimeout bounds the wait for listeners to close when a node is ended at once.
 	abortTimeout = time.Second
+	// requestLines bounds the lines a second of each event about single requests.
+	requestLines = 50
 	// neighbours is the number of nodes on each ring that a connection is kept to.
 	neighbours = 2
 )
@@ -123,6 +125,8 @@
 		_ = n.group.Stop()
 		return nil, Err.Wrap(err)
 	}
+	n.log.Allow(requestLines, "request-refused", "request-failed", "request-failed-at-backend-server", "request-not-routed",
+		"call-not-answered")
 	n.group.Go("ticks", n.ticks)
 	n.group.Go("sync-config", n.syncConfig)
 	n.group.Go("sync-directory", n.syncDirectory)
