Cap the runs of the least important routes by how many end in time

Ruled out: room at mapas itself (no arrival was rejected there), and other zones (all regions were short).

Change: slots.Caps bounds how many runs of a least important route are at the backend server at once. The bound falls by the share of runs that fail after most of their time, and rises by 2% while few do. What is beyond it is refused at once.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -196,10 +196,8 @@
 		return exchanged{end: endLost, why: "connection-closed", lost: true}
 	}
 	request := append(h.Header(), j.m.Body...)
-	if _, err := k.c.Write(request); err != nil {
-		k.close()
-		return lostExchange(err)
-	}
+	// A backend server may answer and close before it has read the body: its answer counts although the rest is not taken.
+	_, unsent := k.c.Write(request)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	resp.SkipBody = h.IsHead()
@@ -210,6 +208,9 @@
 		}
 		reply := b.n.deployment.ReadAnswer(&resp.Header)
 		if reply.ID == j.m.RequestID || reply.ID == "" {
+			if unsent != nil {
+				resp.SetConnectionClose()
+			}
 			return b.judge(j, k, resp, reply)
 		}
 		b.n.log.Warn("stray-answer", "request", j.m.RequestID, "answer-to", reply.ID)
--- a/mesh/carry.go
+++ b/mesh/carry.go
@@ -54,6 +54,9 @@
 		r.excluded = r.excluded.With(choice.Address)
 	case endQuarantined:
 		return r.refused("quarantined")
+	case endCapped:
+		// Nested calls leave their region when it has no room, so what is short here is short everywhere.
+		return r.refused("short-below")
 	case endExpired:
 		return r.refused("deadline")
 	case endRejected:
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -45,11 +45,14 @@
 	endExpired
 	// endQuarantined means that the request crashes backend servers and was not sent to this one.
 	endQuarantined
+	// endCapped means that calls of the route run at the backend server only as far as services below have room; the call
+	// never reached it.
+	endCapped
 )
 
 // String returns the end as logs write it.
 func (e end) String() string {
-	return [...]string{"answered", "busy", "unusable", "rejected", "lost", "expired", "quarantined"}[e]
+	return [...]string{"answered", "busy", "unusable", "rejected", "lost", "expired", "quarantined", "capped"}[e]
 }
 
 // answerMessage is the end of a call.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -37,9 +37,9 @@
 	trimTicks = 20
 	// maxBody bounds the body of a request or an answer that passes a node, in bytes. Bodies are held in memory, so that a
 	// call can be sent to another node.
-	maxBody = 4 << 20
-	// maxHeaders bounds the headers of a request or an answer, in bytes.
-	maxHeaders = 16 << 10
+	maxBody = 8 << 20
+	// maxHeaders bounds the request line and the headers of a request, or the headers of an answer, in bytes.
+	maxHeaders = 20 << 10
 	// callerConnections bounds the connections of callers.
 	callerConnections = 2048
 	// announceConnections bounds the connections for announcements and for questions after readiness.
@@ -99,6 +99,7 @@
 	directory  directory.Directory
 	tracker    directory.Tracker
 	queue      slots.Queue
+	caps       slots.Caps
 	jobs       map[uint64]*job
 	nextJob    uint64
 	chooser    dispatch.Chooser
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -28,6 +28,9 @@
 	running   bool
 	cancelled bool
 	ended     bool
+	// capped is set for a call that counts against its route's cap, and admission is what the cap gave it.
+	capped    bool
+	admission int
 	// exchange is the connection that the call runs on.
 	exchange *backendConn
 }
@@ -73,6 +76,11 @@
 	case n.poison.Refuses(now, j.m.Digest, 0):
 		return n.answerLocked(j, endQuarantined, "quarantined"), true
 	}
+	if cfg := n.config.Load(); cfg != nil && j.m.Rank >= cfg.LeastRank() && cfg.LeastRank() > 0 {
+		if j.admission, j.capped = n.caps.Admit(j.m.Route, n.queue.Limit()); !j.capped {
+			return n.answerLocked(j, endCapped, "short-below"), true
+		}
+	}
 	latest := now.Add(time.Duration(j.m.WaitMS) * time.Millisecond)
 	switch n.queue.Arrive(now, slots.Call{ID: j.id, Rank: j.m.Rank, Latest: latest}).(type) {
 	case slots.Start:
@@ -81,11 +89,32 @@
 	case slots.Wait:
 		n.jobs[j.id] = j
 	case slots.Refuse:
+		n.uncapLocked(j)
 		return n.answerLocked(j, endBusy, "busy"), true
 	}
 	return answerMessage{}, false
 }
 
+// uncapLocked takes a call that did not run off its route's cap.
+func (n *Node) uncapLocked(j *job) {
+	if j.capped {
+		n.caps.Cancelled(j.m.Route)
+	}
+}
+
+// endRunLocked takes the end of a run off its route's cap. A run that failed after most of its time had passed has waited
+// for services below that are short of room.
+func (n *Node) endRunLocked(j *job, x exchanged, ran time.Duration) {
+	switch {
+	case !j.capped:
+	case j.cancelled || x.end != endAnswered:
+		n.caps.Cancelled(j.m.Route)
+	default:
+		late := x.status >= fasthttp.StatusInternalServerError && ran > j.deadline.Sub(j.started)/2
+		n.caps.Ended(j.m.Route, j.admission, n.queue.Limit(), late)
+	}
+}
+
 // answerLocked builds the end of a job with the room that is left.
 func (n *Node) answerLocked(j *job, e end, why string) answerMessage {
 	a := answerMessage{End: e, Why: why, Load: loadOf(n.queue.Load())}
@@ -117,6 +146,7 @@
 			j := n.jobs[e.ID]
 			a := n.answerLocked(j, endBusy, "waited")
 			delete(n.jobs, e.ID)
+			n.uncapLocked(j)
 			j.ended = true
 			ends = append(ends, func() { j.settle(a) })
 		}
@@ -160,6 +190,7 @@
 	}
 	j.ended = true
 	delete(n.jobs, j.id)
+	n.uncapLocked(j)
 	ends := n.applyLocked(now, n.queue.Cancel(j.id))
 	a := n.answerLocked(j, endBusy, "cancelled")
 	n.mu.Unlock()
@@ -200,6 +231,7 @@
 	n.mu.Lock()
 	delete(n.jobs, j.id)
 	j.running, j.ended = false, true
+	n.endRunLocked(j, x, ran)
 	var events []slots.Event
 	if x.end == endAnswered && !j.cancelled {
 		events = n.queue.Finish(j.id, ran)
