--- a/link/link_test.go
+++ b/link/link_test.go
@@ -225,6 +225,24 @@
 	_ = last
 }
 
+// Guards against answers that go out on a connection which its sender has given up: a receiver that was paused accepts it
+// after the one that lives. Found by the soak, seed 202.
+func TestAnswerTakesTheConnectionOfItsCall(t *testing.T) {
+	a, b := start(t, 1, "127.0.0.1:0"), start(t, 2, "127.0.0.1:0")
+	call := a.transport.Peer(b.address).Call([]byte("order"))
+	eventually(t, func() bool { return b.ran("order") == 1 })
+	dead, err := net.Dial("tcp", b.address)
+	require.NoError(t, err)
+	_, err = dead.Write(link.Hello(1))
+	require.NoError(t, err)
+	_, err = dead.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.NoError(t, dead.Close())
+	time.Sleep(50 * time.Millisecond)
+	b.answer(t, "order")
+	require.Equal(t, link.Answer{Payload: []byte("answer to order")}, result(t, call))
+}
+
 // Guards against news that does not reach a kept node, or whose reply is lost.
 func TestKeptNodesHearEachOther(t *testing.T) {
 	a, b := start(t, 1, "127.0.0.1:0"), start(t, 2, "127.0.0.1:0")
--- a/link/session.go
+++ b/link/session.go
@@ -24,7 +24,9 @@
 
 	session *session
 	number  uint64
-	// The other fields are guarded by session.mu.
+	// The other fields are guarded by session.mu. The answer goes out on the connection that the call came on last: of two
+	// connections of a sender the one that was accepted later need not be the one that lives.
+	conn      *conn
 	cancelled bool
 	onCancel  func()
 	done      bool
@@ -35,8 +37,9 @@
 type session struct {
 	incarnation uint64
 
-	mu   sync.Mutex
-	conn *conn
+	mu sync.Mutex
+	// open is the number of connections.
+	open int
 	// settled is the number below which the sender needs no answers; calls below it never run.
 	settled uint64
 	calls   map[uint64]*Served
@@ -64,7 +67,7 @@
 	if err != nil {
 		return
 	}
-	s := t.session(incarnation, k)
+	s := t.session(incarnation)
 	if s == nil {
 		t.Log.Warn("link-too-many-senders", "limit", maxSessions)
 		return
@@ -80,7 +83,7 @@
 		}
 		t.take(s, k, f)
 	}
-	s.detach(k, t.age())
+	s.detach(t.age())
 }
 
 func (t *Transport) take(s *session, k *conn, f frame) {
@@ -101,12 +104,11 @@
 	}
 }
 
-func (s *session) detach(k *conn, now time.Duration) {
+func (s *session) detach(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.conn == k {
-		s.conn, s.gone = nil, now
-	}
+	s.open--
+	s.gone = now
 }
 
 // admit returns a call that is new. A repeated one is attached to the running call or gets the kept answer.
@@ -114,6 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c, ok := s.calls[f.number]; ok {
+		c.conn = k
 		if c.done {
 			k.send(frame{kind: kindAnswer, number: f.number, payload: c.answer})
 		}
@@ -124,7 +127,7 @@
 		k.send(frame{kind: kindUnknown, number: f.number})
 		return nil
 	}
-	c := &Served{Payload: f.payload, session: s, number: f.number}
+	c := &Served{Payload: f.payload, session: s, number: f.number, conn: k}
 	s.calls[f.number] = c
 	return c
 }
@@ -203,15 +206,15 @@
 	if !c.cancelled {
 		c.answer = payload
 	}
-	if s.conn != nil && !c.cancelled {
-		s.conn.send(frame{kind: kindAnswer, number: c.number, payload: payload})
+	if !c.cancelled {
+		c.conn.send(frame{kind: kindAnswer, number: c.number, payload: payload})
 	}
 }
 
 // check cancels the calls of a sender that is gone, and reports whether it can be forgotten.
 func (s *session) check(now time.Duration) bool {
 	s.mu.Lock()
-	if s.conn != nil {
+	if s.open > 0 {
 		s.mu.Unlock()
 		return false
 	}
--- a/link/transport.go
+++ b/link/transport.go
@@ -166,7 +166,7 @@
 	defer t.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.conn == nil {
+	if s.open == 0 {
 		delete(t.sessions, s.incarnation)
 	}
 }
@@ -189,8 +189,8 @@
 	return count
 }
 
-// session returns what is known of the sender at the other end of a connection, or nil when there are too many senders.
-func (t *Transport) session(incarnation uint64, k *conn) *session {
+// session returns what is known of the sender at the other end of a new connection, or nil when there are too many senders.
+func (t *Transport) session(incarnation uint64) *session {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.sessions[incarnation]
@@ -203,7 +203,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conn = k
+	s.open++
 	return s
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -123,7 +123,7 @@
 		return nil, Err.Wrap(err)
 	}
 	if err := n.listen(); err != nil {
-		_ = n.group.Stop()
+		n.Abort()
 		return nil, Err.Wrap(err)
 	}
 	n.log.Allow(requestLines, "request-refused", "request-failed", "request-failed-at-backend-server", "request-not-routed",
