Put a crash down to the calls in flight when the health check meets it first, and reserve test ports

Cause: failure.TestCrashingRequestIsStoppedOnAllNodes was red at times with 3 crashes, of which one was never reported: the health check took the backend server out before the call in flight noticed, and then the crash counted as known. failure.TestEachCallerGetsItsOwnWholeAnswer: two testbeds chose the same free port.

Change: a health check that finds the backend server gone reports the crash. Ports are reserved across processes by locks.

Tests: node.TestHealthCheckThatMeetsACrashFirstReportsIt (failed before), testbed.TestPortsAreReservedAcrossProcesses.

--- a/node/backend.go
+++ b/node/backend.go
@@ -157,6 +157,10 @@
 // checkHealth announces whether the own backend server takes calls.
 func (n *Node) checkHealth(context.Context) {
 	up, known := n.backend.healthy()
+	if known && !up {
+		// The check may meet a crash before the calls in flight do, which must be put down to them all the same.
+		n.noteCrash()
+	}
 	if !known || !n.backend.setUp(up) || n.draining.Load() {
 		return
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"lovagelane/kernel"
 	"lovagelane/membership"
 )
 
@@ -245,6 +246,34 @@
 	require.Equal(t, fasthttp.StatusOK, r.StatusCode())
 }
 
+// Guards against a crash that is put down to no request, because the health check meets it before the calls in flight do.
+func TestHealthCheckThatMeetsACrashFirstReportsIt(t *testing.T) {
+	w := newWorld(t, chainInventory, chainRules)
+	release := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(release) })
+	defer finish()
+	running := make(chan struct{})
+	s := w.station("nursery", func(*fasthttp.RequestCtx, func(string, string, string) *fasthttp.Response) {
+		close(running)
+		<-release
+	})
+	group := kernel.NewGroup(t.Context())
+	group.Go("caller", func(context.Context) error {
+		_, err := trySend(s.Addresses().Callers, "GET", "/nursery/map", "")
+		return err
+	})
+	<-running
+	// New connections are refused while the connection of the call stays open.
+	group.Go("shutdown", func(context.Context) error { return s.server.Shutdown() })
+	w.eventually("crash reported", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return strings.Contains(w.log.String(), "event=backend-server-crashed in-flight=1")
+	})
+	finish()
+	require.NoError(t, group.Wait())
+}
+
 // Guards against a request that ran on one backend server and is reported as "not run", because a retry of it was refused.
 func TestRetryDoesNotHideThatARequestMayHaveRun(t *testing.T) {
 	w := newWorld(t, chainInventory, chainRules)
--- a/testbed/ports.go
+++ b/testbed/ports.go
@@ -4,6 +4,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+
+	"golang.org/x/sys/unix"
 
 	"lovagelane/kernel"
 )
@@ -20,6 +26,38 @@
 // addresses of the next one are chosen.
 type ports struct{ taken kernel.Set[string] }
 
+// reserved keeps the locks on the ports that this process has given, until it ends.
+var reserved struct {
+	mu    sync.Mutex
+	files []*os.File
+}
+
+// reserve takes a lock on a port that other testbeds on this machine respect. Without it, two of them could choose the same
+// port before either has opened its listener.
+func reserve(port int) (bool, error) {
+	dir := filepath.Join(os.TempDir(), "lovagelane-ports")
+	if err := os.MkdirAll(dir, 0o777); err != nil {
+		return false, Error.Wrap(err)
+	}
+	f, err := os.OpenFile(filepath.Join(dir, strconv.Itoa(port)), os.O_CREATE|os.O_RDWR, 0o666)
+	if err != nil {
+		return false, Error.Wrap(err)
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		return false, Error.Wrap(f.Close())
+	}
+	reserved.mu.Lock()
+	defer reserved.mu.Unlock()
+	reserved.files = append(reserved.files, f)
+	return true, nil
+}
+
+// Addresses returns n loopback addresses that no other testbed on this machine is given.
+func Addresses(n int) ([]string, error) {
+	var p ports
+	return p.take(n)
+}
+
 // take returns n addresses whose ports are free for TCP and UDP.
 func (p *ports) take(n int) ([]string, error) {
 	if p.taken == nil {
@@ -31,8 +69,16 @@
 		if len(addresses) == n {
 			return addresses, nil
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-		if !p.taken.Has(address) && free(address) {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if p.taken.Has(address) || !free(address) {
+			continue
+		}
+		ok, err := reserve(port)
+		if err != nil {
+			return nil, err
+		}
+		if ok {
 			p.taken[address] = struct{}{}
 			addresses = append(addresses, address)
 		}
