Let caps bear the long runs of any mix, and rise fast away from where they fell

Change: a window of 32 runs, a bound of 15%, and a rise that is slow only near the limit from which the cap fell.

--- a/slots/caps.go
+++ b/slots/caps.go
@@ -3,14 +3,18 @@
 import "lovagelane/kernel"
 
 const (
-	// capWindow is the number of ended runs after which a cap moves.
-	capWindow = 12
+	// capWindow is the number of ended runs after which a cap moves. With fewer, one long run more or less would move it.
+	capWindow = 32
 	// lateShare is the share of runs that end too late from which a cap falls. Below it they are the long ones of any mix.
-	lateShare = 0.05
+	lateShare = 0.15
 	// capFall is by how much of the share of late runs a cap falls.
-	capFall = 1.0
-	// capRise is the part by which a cap rises when few runs end too late.
-	capRise = 0.02
+	capFall = 0.7
+	// nearRise is the part by which a cap rises near the limit from which it fell last, and farRise elsewhere.
+	nearRise = 0.02
+	farRise  = 0.08
+	// nearBelow and nearAbove bound what is near, as multiples of the limit from which the cap fell last.
+	nearBelow = 0.85
+	nearAbove = 1.15
 	// leastCap is the part of the slots below which no cap falls, so that a cap is lifted again once runs end in time.
 	leastCap = 0.05
 	// maxCaps bounds the routes that have caps.
@@ -33,6 +37,8 @@
 	late  int
 	// falls counts the falls of the limit. A run that was admitted before the last one says nothing of the limit since.
 	falls int
+	// fellFrom is the limit before the last fall.
+	fellFrom float64
 }
 
 // Admit reports whether one more call of a route may run, and counts it as running if so. Ended needs the number that it
@@ -82,15 +88,24 @@
 	share := float64(r.late) / float64(r.ended)
 	if share > lateShare {
 		// A cap that was not reached does not bind, so it falls from what was reached.
-		r.limit = min(r.limit, float64(r.most)) * (1 - capFall*share)
+		r.fellFrom = min(r.limit, float64(r.most))
+		r.limit = r.fellFrom * (1 - capFall*share)
 		r.falls++
 	} else {
-		r.limit += max(1, capRise*r.limit)
+		r.limit += max(1, r.rise()*r.limit)
 	}
 	r.limit = max(leastCap*float64(slots), 1, min(r.limit, float64(slots)))
 	r.ended, r.late, r.most = 0, 0, r.running
 }
 
+// rise returns the part by which the cap rises: slowly where it fell last, since a shortage that lasts shows there.
+func (r *routeCap) rise() float64 {
+	if r.limit > nearBelow*r.fellFrom && r.limit < nearAbove*r.fellFrom {
+		return nearRise
+	}
+	return farRise
+}
+
 // Limit returns the cap of a route, or 0 when there is none.
 func (c *Caps) Limit(route string) int {
 	if r := c.find(route); r != nil {
