--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -203,9 +203,6 @@
 	return cost + time.Duration(random.IntN(int(time.Millisecond)))
 }
 
-// Home returns the place that the choice is made for.
-func (c *Chooser) Home() balance.Place { return c.home }
-
 // Typical returns the usual run time of a route's calls.
 func (c *Chooser) Typical(route string) time.Duration { return c.run(route) }
 
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -119,6 +119,10 @@
 		return r, unroutable{status: fasthttp.StatusNotFound, why: "no-route"}
 	}
 	r.route = route
+	r.body = ctx.Request.Body()
+	if limit := cfg.Limits().BodyBytes; limit > 0 && int64(len(r.body)) > limit {
+		return r, unroutable{status: fasthttp.StatusRequestEntityTooLarge, why: "body-too-large"}
+	}
 	remaining := longestWait
 	if claims.Remaining > 0 {
 		remaining = claims.Remaining
@@ -127,7 +131,6 @@
 		remaining = min(remaining, route.Timeout)
 	}
 	r.deadline = now.Add(remaining)
-	r.body = ctx.Request.Body()
 	r.digest = call.Digest(string(h.Method()), string(h.Host())+string(h.RequestURI()), r.body)
 	r.head = headOf(h, len(r.body))
 	n.plan(now, r, remaining)
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -112,6 +112,7 @@
 	default:
 		late := x.status >= fasthttp.StatusInternalServerError && ran > j.deadline.Sub(j.started)/2
 		n.caps.Ended(j.m.Route, j.admission, n.queue.Limit(), late)
+		n.metrics.Set("route-cap", int64(n.caps.Limit(j.m.Route)), j.m.Route)
 	}
 }
 
--- a/routing/config.go
+++ b/routing/config.go
@@ -46,12 +46,10 @@
 	MaxConnections int
 }
 
-// Limits bound what a caller may send and how long it may take.
+// Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyBytes is the largest body of a request; zero means no bound.
+	BodyBytes int64
 }
 
 // Config is one version of the routes and services; it does not change after New.
--- /dev/null
+++ b/settings/mesh_test.go
@@ -0,0 +1,59 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagelane/settings"
+)
+
+const validMesh = `[mesh]
+deployment = operators-platform
+service = huvo11a
+availability-zone = rn-natal
+region = rn
+backend-server = 10.1.0.8:8301
+callers-listen = 10.1.0.8:8304
+ready-listen = 10.1.0.8:8302
+announce-listen = 10.1.0.8:8306
+calls-listen = 10.1.0.8:8300
+store = 10.200.1.7:8309
+memory-mb = 284
+grace = 6s
+repeat-ratio = 0.2
+repeats-allowed = 50
+repeat-window = 10s
+`
+
+// Guards against settings that are read as something else than they state.
+func TestParseMesh(t *testing.T) {
+	m, err := settings.ParseMesh("mesh.ini", validMesh)
+	require.NoError(t, err)
+	require.Equal(t, settings.Mesh{Deployment: "operators-platform", Service: "huvo11a", AvailabilityZone: "rn-natal", Region: "rn",
+		BackendServer: "10.1.0.8:8301", CallersListen: "10.1.0.8:8304", ReadyListen: "10.1.0.8:8302", AnnounceListen: "10.1.0.8:8306",
+		CallsListen: "10.1.0.8:8300", CallsAddress: "10.1.0.8:8300", Store: "10.200.1.7:8309", MemoryMB: 284, Grace: 6 * time.Second,
+		RepeatRatio: 0.2, RepeatsAllowed: 50, RepeatWindow: 10 * time.Second}, m)
+}
+
+// Guards against mistakes that go unnoticed, or that are reported without their line and a remedy.
+func TestParseMeshReportsMistakes(t *testing.T) {
+	for name, tc := range map[string]struct{ old, new, want string }{
+		"no section":        {validMesh, "", "there is no [mesh] section"},
+		"missing key":       {"service = huvo11a\n", "", "[mesh] has no service"},
+		"unknown key":       {"region = rn\n", "region = rn\nregions = 3\n", "mesh.ini:6: unknown key regions"},
+		"no address":        {"store = 10.200.1.7:8309", "store = here", "store = here is not an address"},
+		"open address":      {"calls-listen = 10.1.0.8:8300", "calls-listen = 0.0.0.0:8300", "cannot be announced"},
+		"same address":      {"ready-listen = 10.1.0.8:8302", "ready-listen = 10.1.0.8:8304", "uses the address 10.1.0.8:8304"},
+		"grace, no unit":    {"grace = 6s", "grace = 6", "grace = 6"},
+		"ratio above 1":     {"repeat-ratio = 0.2", "repeat-ratio = 2", "write a number from 0 to 1"},
+		"ratio in words":    {"repeat-ratio = 0.2", "repeat-ratio = some", "write a number from 0 to 1"},
+		"negative repeats":  {"repeats-allowed = 50", "repeats-allowed = -1", "repeats-allowed = -1 is out of range"},
+		"memory in letters": {"memory-mb = 284", "memory-mb = much", "memory-mb = much is out of range"},
+	} {
+		_, err := settings.ParseMesh("mesh.ini", strings.Replace(validMesh, tc.old, tc.new, 1))
+		require.ErrorContains(t, err, tc.want, name)
+	}
+}
--- a/slots/heap.go
+++ b/slots/heap.go
@@ -2,10 +2,10 @@
 
 // entry is a waiting call; it is in both heaps.
 type entry struct {
-	call       Call
-	seq        uint64
-	orderIndex int
-	dueIndex   int
+	call Call
+	seq  uint64
+	// index is the place in each heap.
+	index [2]int
 }
 
 // before reports whether e starts before other.
@@ -16,50 +16,50 @@
 	return e.seq < other.seq
 }
 
-// order has the call that starts next first.
-type order []*entry
+// dueBefore reports whether e expires before other.
+func (e *entry) dueBefore(other *entry) bool { return e.call.Latest.Before(other.call.Latest) }
 
-func (o order) Len() int           { return len(o) }
-func (o order) Less(i, j int) bool { return o[i].before(o[j]) }
-func (o order) Swap(i, j int) {
-	o[i], o[j] = o[j], o[i]
-	o[i].orderIndex, o[j].orderIndex = i, j
-}
+// The heaps that an entry is in.
+const (
+	byOrder = iota
+	byDue
+)
 
-func (o *order) Push(x any) {
-	e := x.(*entry)
-	e.orderIndex = len(*o)
-	*o = append(*o, e)
+// line is a heap of waiting calls, by their order or by their latest start.
+type line struct {
+	entries []*entry
+	by      int
 }
 
-func (o *order) Pop() any {
-	old := *o
-	e := old[len(old)-1]
-	old[len(old)-1] = nil
-	*o = old[:len(old)-1]
-	return e
-}
+// Len implements heap.Interface.
+func (l *line) Len() int { return len(l.entries) }
 
-// due has the call whose latest start comes first.
-type due []*entry
+// Less implements heap.Interface.
+func (l *line) Less(i, j int) bool {
+	if l.by == byDue {
+		return l.entries[i].dueBefore(l.entries[j])
+	}
+	return l.entries[i].before(l.entries[j])
+}
 
-func (d due) Len() int           { return len(d) }
-func (d due) Less(i, j int) bool { return d[i].call.Latest.Before(d[j].call.Latest) }
-func (d due) Swap(i, j int) {
-	d[i], d[j] = d[j], d[i]
-	d[i].dueIndex, d[j].dueIndex = i, j
+// Swap implements heap.Interface.
+func (l *line) Swap(i, j int) {
+	l.entries[i], l.entries[j] = l.entries[j], l.entries[i]
+	l.entries[i].index[l.by], l.entries[j].index[l.by] = i, j
 }
 
-func (d *due) Push(x any) {
+// Push implements heap.Interface.
+func (l *line) Push(x any) {
 	e := x.(*entry)
-	e.dueIndex = len(*d)
-	*d = append(*d, e)
+	e.index[l.by] = len(l.entries)
+	l.entries = append(l.entries, e)
 }
 
-func (d *due) Pop() any {
-	old := *d
-	e := old[len(old)-1]
-	old[len(old)-1] = nil
-	*d = old[:len(old)-1]
+// Pop implements heap.Interface.
+func (l *line) Pop() any {
+	last := len(l.entries) - 1
+	e := l.entries[last]
+	l.entries[last] = nil
+	l.entries = l.entries[:last]
 	return e
 }
--- a/slots/queue.go
+++ b/slots/queue.go
@@ -67,8 +67,8 @@
 	closed  bool
 	running map[uint64]struct{}
 	waiting map[uint64]*entry
-	order   order
-	due     due
+	order   line
+	due     line
 	seq     uint64
 	// run is the mean run time in seconds.
 	run float64
@@ -87,8 +87,8 @@
 func (q *Queue) Close() []Event {
 	q.closed = true
 	var events []Event
-	for len(q.order) > 0 {
-		e := q.order[0]
+	for q.order.Len() > 0 {
+		e := q.order.entries[0]
 		q.remove(e)
 		events = append(events, Expired{e.call.ID})
 	}
@@ -105,13 +105,14 @@
 	}
 	if q.running == nil {
 		q.running, q.waiting = map[uint64]struct{}{}, map[uint64]*entry{}
+		q.due.by = byDue
 	}
-	if len(q.running) < q.limit && len(q.order) == 0 {
+	if len(q.running) < q.limit && q.order.Len() == 0 {
 		q.running[c.ID] = struct{}{}
 		return Start{}
 	}
 	wait := q.estimate(c)
-	if now.Add(wait).After(c.Latest) || len(q.order) >= maxWaiting*q.limit {
+	if now.Add(wait).After(c.Latest) || q.order.Len() >= maxWaiting*q.limit {
 		return Refuse{Wait: wait}
 	}
 	q.seq++
@@ -152,25 +153,17 @@
 // Expire returns the calls whose latest start has passed.
 func (q *Queue) Expire(now time.Time) []Event {
 	var events []Event
-	for len(q.due) > 0 && !now.Before(q.due[0].call.Latest) {
-		e := q.due[0]
+	for q.due.Len() > 0 && !now.Before(q.due.entries[0].call.Latest) {
+		e := q.due.entries[0]
 		q.remove(e)
 		events = append(events, Expired{e.call.ID})
 	}
 	return events
 }
 
-// NextExpiry returns the earliest latest start of a waiting call.
-func (q *Queue) NextExpiry() (time.Time, bool) {
-	if len(q.due) == 0 {
-		return time.Time{}, false
-	}
-	return q.due[0].call.Latest, true
-}
-
 // Load returns the room that is left.
 func (q *Queue) Load() Load {
-	l := Load{Running: len(q.running), Waiting: len(q.order), Limit: q.limit}
+	l := Load{Running: len(q.running), Waiting: q.order.Len(), Limit: q.limit}
 	if l.Running >= l.Limit {
 		l.Wait = q.waitBehind(l.Waiting)
 	}
@@ -178,8 +171,8 @@
 }
 
 func (q *Queue) start(events []Event) []Event {
-	for len(q.order) > 0 && len(q.running) < q.limit {
-		e := q.order[0]
+	for q.order.Len() > 0 && len(q.running) < q.limit {
+		e := q.order.entries[0]
 		q.remove(e)
 		q.running[e.call.ID] = struct{}{}
 		events = append(events, Started{e.call.ID})
@@ -191,7 +184,7 @@
 func (q *Queue) estimate(c Call) time.Duration {
 	ahead := 0
 	probe := &entry{call: c, seq: q.seq + 1}
-	for _, e := range q.order {
+	for _, e := range q.order.entries {
 		if e.before(probe) {
 			ahead++
 		}
@@ -210,6 +203,6 @@
 
 func (q *Queue) remove(e *entry) {
 	delete(q.waiting, e.call.ID)
-	heap.Remove(&q.order, e.orderIndex)
-	heap.Remove(&q.due, e.dueIndex)
+	heap.Remove(&q.order, e.index[byOrder])
+	heap.Remove(&q.due, e.index[byDue])
 }
