--- a/link/link_test.go
+++ b/link/link_test.go
@@ -193,6 +193,17 @@
 	require.Zero(t, again.ran("order"))
 }
 
+// Guards against a call that waits for ever, or is sent again, because the receiver has started anew so quickly that the
+// sender never found its address closed.
+func TestNewStartOfTheReceiverIsNoticed(t *testing.T) {
+	a, b, relay := relayed(t)
+	call := a.transport.Peer(relay.Address()).Call([]byte("order"))
+	eventually(t, func() bool { return b.ran("order") == 1 })
+	b.transport.Incarnation = 3
+	relay.Cut()
+	require.Equal(t, link.Lost{Sent: true}, result(t, call))
+}
+
 // Guards against a call that counts as sent although nobody listened at the address.
 func TestCallToNobodyWasNotSent(t *testing.T) {
 	a, b := start(t, 1, "127.0.0.1:0"), start(t, 2, "127.0.0.1:0")
