Send requests that a region has no room for below to another region

Change: a backend server that takes no more of a route is passed over for it for 300 ms, and the request goes on; only when all are is it refused.

Test: dispatch.TestCappedRouteGoesToAnotherRegion.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -41,6 +41,10 @@
 	firstTypical = 100 * time.Millisecond
 	// maxRoutes bounds the routes whose typical run time is kept.
 	maxRoutes = 4096
+	// cappedLife is how long a backend server that takes no more calls of a route is passed over for it.
+	cappedLife = 300 * time.Millisecond
+	// maxCapped bounds the routes for which that is kept.
+	maxCapped = 64
 	// firstAvoidance and longestAvoidance bound how long a backend server that could not be used is passed over.
 	firstAvoidance   = 200 * time.Millisecond
 	longestAvoidance = 3 * time.Second
@@ -87,6 +91,9 @@
 // Busy means that there was no room within the wait that the call allowed.
 type Busy struct{}
 
+// Capped means that the backend server takes no more calls of the route now, because services below it are short of room.
+type Capped struct{ Route string }
+
 // Unusable means that the backend server can't be reached or takes no calls.
 type Unusable struct{}
 
@@ -98,6 +105,7 @@
 
 func (Answered) outcome() {}
 func (Busy) outcome()     {}
+func (Capped) outcome()   {}
 func (Unusable) outcome() {}
 func (Failed) outcome()   {}
 func (Ended) outcome()    {}
@@ -124,6 +132,8 @@
 	failuresAt time.Time
 	avoided    time.Time
 	backoff    time.Duration
+	// capped holds until when the backend server takes no more calls of a route.
+	capped *kernel.Table[string, time.Time]
 }
 
 // Update replaces the candidates and keeps what is known of those that remain.
@@ -148,7 +158,7 @@
 	var best, second, last *peer
 	var bestCost, secondCost time.Duration
 	for _, p := range c.byService[q.Service] {
-		if q.Exclude.Has(p.candidate.Address) {
+		if q.Exclude.Has(p.candidate.Address) || p.isCapped(now, q.Route) {
 			continue
 		}
 		if now.Before(p.avoided) {
@@ -246,6 +256,14 @@
 	return ratio
 }
 
+func (p *peer) isCapped(now time.Time, route string) bool {
+	if p.capped == nil {
+		return false
+	}
+	until := p.capped.Get(route)
+	return until != nil && now.Before(*until)
+}
+
 // failing returns the share of calls that fail; without calls it halves, so that the backend server is tried again.
 func (p *peer) failing(now time.Time) float64 {
 	if p.failures == 0 {
@@ -285,6 +303,11 @@
 		p.avoided = now.Add(p.backoff)
 	case Failed:
 		p.fail(now, 1)
+	case Capped:
+		if p.capped == nil {
+			p.capped = kernel.NewTable[string, time.Time](maxCapped)
+		}
+		*p.capped.Put(o.Route) = now.Add(cappedLife)
 	case Busy, Ended:
 	}
 }
--- a/dispatch/chooser_test.go
+++ b/dispatch/chooser_test.go
@@ -113,3 +113,19 @@
 	require.Equal(t, "far", choose(t, c, start, query).Address)
 	require.Equal(t, "near", choose(t, c, start.Add(20*time.Second), query).Address)
 }
+
+// Guards against a request that is refused because services below are short of room in its own region only, and against
+// nodes that are asked again and again while they take no more of a route.
+func TestCappedRouteGoesToAnotherRegion(t *testing.T) {
+	c := chooser()
+	c.Learn(start, "near", dispatch.Capped{Route: "read"})
+	c.Learn(start, "zone", dispatch.Capped{Route: "read"})
+	require.Equal(t, "far", choose(t, c, start, query).Address)
+	other := query
+	other.Route = "write"
+	require.Equal(t, "near", choose(t, c, start, other).Address)
+	c.Learn(start, "far", dispatch.Capped{Route: "read"})
+	_, ok := c.Choose(start, query, kernel.NewRand(1))
+	require.False(t, ok)
+	require.Equal(t, "near", choose(t, c, start.Add(time.Second), query).Address)
+}
--- a/mesh/carry.go
+++ b/mesh/carry.go
@@ -27,6 +27,9 @@
 			return r.refused("deadline")
 		}
 		choice, ok := n.choose(now, r)
+		if !ok && r.capped {
+			return r.refused("short-below")
+		}
 		if !ok {
 			return r.refused("no-room")
 		}
@@ -55,8 +58,9 @@
 	case endQuarantined:
 		return r.refused("quarantined")
 	case endCapped:
-		// Nested calls leave their region when it has no room, so what is short here is short everywhere.
-		return r.refused("short-below")
+		// Another region may have room below, and one way there costs less than the ways of all nested calls.
+		r.capped = true
+		r.excluded = r.excluded.With(choice.Address)
 	case endExpired:
 		return r.refused("deadline")
 	case endRejected:
@@ -141,6 +145,8 @@
 		o = dispatch.Answered{Route: r.route.Name, Ran: time.Duration(a.RanMicros) * time.Microsecond}
 	case endBusy:
 		o = dispatch.Busy{}
+	case endCapped:
+		o = dispatch.Capped{Route: r.route.Name}
 	case endUnusable:
 		o = dispatch.Unusable{}
 	case endRejected, endLost:
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -51,6 +51,8 @@
 	offered  map[string]time.Duration
 	// mayHaveRun is set once the answer of a backend server was lost.
 	mayHaveRun bool
+	// capped is set once a backend server took no more requests of the route.
+	capped bool
 	// sent counts the backend servers that the request was sent to.
 	sent int
 	// hops counts the nodes that were asked.
