Remove the rows of nodes that ended without a word

Cause: nothing in the store expires, so the row of an instance that is lost for good stayed for ever, and each node that serves its service lost up to half a second on it every 3 s.

Change: a node of the same region that can't reach it for 10 minutes removes the row, under the condition of its version. A living one sees that and writes it again.

--- a/link/peer.go
+++ b/link/peer.go
@@ -66,8 +66,10 @@
 	next        uint64
 	pending     map[uint64]*Pending
 	failures    int
-	redialAt    time.Duration
-	used        time.Duration
+	// failedAt is when the first of the failed connection attempts in a row ended.
+	failedAt time.Duration
+	redialAt time.Duration
+	used     time.Duration
 	// pinged is when the last ping was sent, and waiting says that nothing was read since.
 	pinged  time.Duration
 	waiting bool
@@ -128,6 +130,16 @@
 	}
 }
 
+// unreachable returns for how long no connection could be opened; 0 when none was tried since the last one.
+func (p *Peer) unreachable() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failures == 0 || p.conn != nil {
+		return 0
+	}
+	return p.t.age() - p.failedAt
+}
+
 func (p *Peer) notify(notice []byte) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -161,6 +173,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing = false
+	if p.failures == 0 {
+		p.failedAt = p.t.age()
+	}
 	p.failures++
 	p.redialAt = p.t.age() + min(longestRedial, firstRedial<<min(p.failures, 10))
 	again := false
--- a/link/transport.go
+++ b/link/transport.go
@@ -135,6 +135,9 @@
 	}
 }
 
+// Unreachable returns for how long no connection to a node could be opened; 0 when none was tried since the last one.
+func (t *Transport) Unreachable(address string) time.Duration { return t.Peer(address).unreachable() }
+
 // Notify sends a notice to a node if a connection is open, and reports whether it was sent.
 func (t *Transport) Notify(address string, notice []byte) bool {
 	return t.Peer(address).notify(notice)
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -210,6 +210,38 @@
 	return false
 }
 
+// forget removes the rows of nodes of the own region that could not be reached for so long that they are taken to have ended
+// without a word. One that lives after all sees that its row is gone and writes it again. Nodes of other regions are left to
+// their own region, since regions may be apart for long.
+func (n *Node) forget(ctx context.Context, after time.Duration) {
+	n.mu.Lock()
+	nodes := n.directory.Nodes()
+	n.mu.Unlock()
+	for _, node := range nodes {
+		if node.Region != n.settings.Region || node.Address == n.settings.CallsAddress {
+			continue
+		}
+		silent := n.transport.Unreachable(node.Address)
+		if silent < after {
+			continue
+		}
+		n.mu.Lock()
+		entry, known := n.directory.Entry(node.Address)
+		n.mu.Unlock()
+		if !known || entry.Removed {
+			continue
+		}
+		version, err := n.store.Write(ctx, nodesTable, Write{Key: node.Address, Remove: true, Expect: kernel.Some(entry.Version)})
+		if err != nil {
+			n.log.Warn("node-not-forgotten", "node", node.Address, "error", err)
+			continue
+		}
+		n.log.Info("node-forgotten", "node", node.Address, "service", node.Service, "silent", silent)
+		entry.Version, entry.Removed = version, true
+		n.mergeRows([]directory.Entry{entry})
+	}
+}
+
 // removeNode removes the row of this node, as its backend server has left.
 func (n *Node) removeNode(ctx context.Context) {
 	n.mu.Lock()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -52,8 +52,12 @@
 	// workers bounds the calls that run at the own backend server at once, and queuedRuns those that wait for a worker.
 	workers    = 4096
 	queuedRuns = 4096
+	// forgetChecks is how often within that time a node checks whom it can't reach.
+	forgetChecks = 10
 	// abortTimeout bounds the wait for listeners to close when a node is ended at once.
 	abortTimeout = time.Second
+	// forgetAfter is longer than a restart, a move of an instance or a cut between nodes that mends takes.
+	forgetAfter = 10 * time.Minute
 	// requestLines bounds the lines a second of each event about single requests.
 	requestLines = 50
 	// neighbours is the number of nodes on each ring that a connection is kept to.
@@ -70,6 +74,8 @@
 	Log      *event.Log
 	// Seed makes the node's random choices repeatable; zero takes a random seed.
 	Seed uint64
+	// ForgetAfter is how long a node of the own region must be out of reach before its row is removed; zero takes 10 minutes.
+	ForgetAfter time.Duration
 }
 
 // Node is a running node.
@@ -132,6 +138,10 @@
 	n.group.Go("sync-config", n.syncConfig)
 	n.group.Go("sync-directory", n.syncDirectory)
 	n.group.Go("recovery", n.recover)
+	if o.ForgetAfter == 0 {
+		o.ForgetAfter = forgetAfter
+	}
+	n.group.Every("forget", o.ForgetAfter/forgetChecks, 0.5, n.rand, func(ctx context.Context) { n.forget(ctx, o.ForgetAfter) })
 	n.log.Info("node-started", "service", n.settings.Service, "availability-zone", n.settings.AvailabilityZone,
 		"callers", n.settings.CallersListen, "calls", n.settings.CallsAddress, "deployment", n.settings.Deployment)
 	return n, nil
