--- a/mesh/node.go
+++ b/mesh/node.go
@@ -93,6 +93,7 @@
 	backend    *backend
 	watch      hangup.Watch
 	servers    []*fasthttp.Server
+	listeners  []net.Listener
 	config     atomic.Pointer[routing.Config]
 	stopping   atomic.Bool
 	// ends is set in the last part of a stop, in which only requests that end before it are taken.
@@ -219,7 +220,7 @@
 		NoDefaultContentType: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true, ReduceMemoryUsage: true,
 		Logger: quiet{}, ErrorHandler: n.refuseUnreadable,
 	}
-	n.servers = append(n.servers, s)
+	n.servers, n.listeners = append(n.servers, s), append(n.listeners, ln)
 	n.group.Go(name, func(context.Context) error { return s.Serve(ln) })
 }
 
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -62,6 +62,10 @@
 	for _, s := range n.servers {
 		_ = s.ShutdownWithContext(ctx) // Connections that are still open are closed with the process.
 	}
+	// A server that has not begun to serve doesn't know its listener yet.
+	for _, ln := range n.listeners {
+		_ = ln.Close() // Most are closed already.
+	}
 }
 
 // takeUntil has requests refused that may end later.
