--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -13,8 +13,9 @@
 	// leaveTime is how long a stopping node goes on taking requests: callers are told by the readiness question, which is
 	// asked once a second and must fail twice. After that only requests that end within the grace are taken.
 	leaveTime = 2800 * time.Millisecond
-	// stopReserve is the end of the grace in which connections are closed.
-	stopReserve = 500 * time.Millisecond
+	// stopReserve is the end of the grace in which connections are closed. A process that gets its share of the processor in
+	// quotas of 100 ms needs several of them for that.
+	stopReserve = 800 * time.Millisecond
 	// stopCheck is the period at which a stopping node checks whether anything is under way.
 	stopCheck = 20 * time.Millisecond
 )
