Give up calls that were sent after a time, not after two failed attempts

Cause: under the race detector link.TestCallSurvivesCutConnections was red once. Two connection attempts that fail at once, as through a path that resets them, took a millisecond, and the call was given up as "may have run".

Change: calls that were sent are given up once attempts have failed for 1 s, or at once when nothing listens any more. Attempts for them are made every 100 ms to 2 s.

Tests: the test holds the path for 300 ms now and was red before; TestNewStartOfTheReceiverIsNoticed no longer changes a running receiver, which the race detector reported.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -158,9 +158,11 @@
 		relay.Cut()
 		time.Sleep(50 * time.Millisecond)
 	}
+	// Attempts that fail at once must not use up the time in which the path may come back.
 	relay.Refuse(true)
 	relay.Cut()
 	b.answer(t, "order")
+	time.Sleep(300 * time.Millisecond)
 	relay.Refuse(false)
 	require.Equal(t, link.Answer{Payload: []byte("answer to order")}, result(t, call))
 	require.Equal(t, 1, b.ran("order"))
@@ -199,7 +201,8 @@
 	a, b, relay := relayed(t)
 	call := a.transport.Peer(relay.Address()).Call([]byte("order"))
 	eventually(t, func() bool { return b.ran("order") == 1 })
-	b.transport.Incarnation = 3
+	// The relay stands for the address: the receiver that has started anew is found there at once.
+	relay.Redirect(start(t, 3, "127.0.0.1:0").address)
 	relay.Cut()
 	require.Equal(t, link.Lost{Sent: true}, result(t, call))
 }
--- a/link/peer.go
+++ b/link/peer.go
@@ -23,8 +23,8 @@
 	// firstRedial and longestRedial bound the pause between connection attempts to a kept address.
 	firstRedial   = 100 * time.Millisecond
 	longestRedial = 2 * time.Second
-	// maxLost is the number of failed connection attempts in a row after which calls that were sent are given up.
-	maxLost = 2
+	// lostAfter is how long connection attempts must fail before calls that were sent are given up.
+	lostAfter = time.Second
 )
 
 // Result is the end of a call: Answer or Lost.
@@ -166,8 +166,8 @@
 	p.opened(k, incarnation)
 }
 
-// failed settles the calls that cannot be sent. Calls that were sent before stay under way for a few attempts, since the
-// path may come back, unless nothing listens at the address any more.
+// failed settles the calls that cannot be sent. Calls that were sent before stay under way for a while, since the path may
+// come back, unless nothing listens at the address any more.
 func (p *Peer) failed(err error) {
 	refused := errors.Is(err, ErrRefused)
 	p.mu.Lock()
@@ -178,20 +178,15 @@
 	}
 	p.failures++
 	p.redialAt = p.t.age() + min(longestRedial, firstRedial<<min(p.failures, 10))
-	again := false
+	lost := refused || p.t.age()-p.failedAt >= lostAfter
 	for number, c := range p.pending {
 		switch {
 		case !c.sent:
 			p.settleLocked(number, Lost{})
-		case refused || p.failures >= maxLost:
+		case lost:
 			p.settleLocked(number, Lost{Sent: true})
-		default:
-			again = true
 		}
 	}
-	if again {
-		p.dialLocked()
-	}
 }
 
 // opened sends the calls that have no answer yet. Those that an earlier start of the receiver got may have run there.
@@ -287,7 +282,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn == nil {
-		if p.kept && now >= p.redialAt {
+		if (p.kept || len(p.pending) > 0) && now >= p.redialAt {
 			p.dialLocked()
 		}
 		return
--- a/testbed/relay.go
+++ b/testbed/relay.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// Redirect makes new connections go to another target.
+func (r *Relay) Redirect(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
 // Refuse makes new connections fail, or work again.
 func (r *Relay) Refuse(refuse bool) {
 	r.mu.Lock()
@@ -115,9 +122,9 @@
 
 func (r *Relay) run(ctx context.Context, in net.Conn) {
 	r.mu.Lock()
-	refuse := r.refuse
+	refuse, target := r.refuse, r.target
 	r.mu.Unlock()
-	out, err := net.Dial("tcp", r.target)
+	out, err := net.Dial("tcp", target)
 	if err != nil || refuse {
 		_ = in.Close()
 		if out != nil {
