Count a crash of a backend server that is back before its node looks

A node took a crash for one only if new connections were refused afterwards; a supervisor that restarts the backend server at once hid it.

Change: when the connection of a call breaks and the backend server takes connections, the call alone is suspect; a good answer clears it as before.

Test: node.TestCrashWithAQuickRestartCounts, red before.

--- a/node/backend.go
+++ b/node/backend.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -173,6 +175,27 @@
 	n.log.Info("backend-server-state", "state", state)
 }
 
+// brokeOff gives a number to the loss of one call at a backend server that takes connections.
+func (b *backend) brokeOff() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crashes++
+	return b.crashes
+}
+
+// noteBrokenCall puts the loss of a call's connection down to that call alone, when the backend server takes connections. It
+// may have crashed and be back already; when the connection alone broke, the next good answer clears the suspicion.
+func (n *Node) noteBrokenCall(f *flight, err error) bool {
+	if !errors.Is(err, io.EOF) && !errors.Is(err, fasthttp.ErrConnectionClosed) && !errors.Is(err, syscall.ECONNRESET) {
+		return false
+	}
+	reports := n.poison.crashed(n.clock.Now(), crashID(n.self.ID, n.backend.brokeOff()), []uint64{f.meta.Digest})
+	n.log.Warn("backend-server-broke-off", "request", f.meta.RequestID, "error", err, "suspects", len(reports))
+	n.metrics.Add("backend-server-broken-calls", 1)
+	n.control.SpreadCrash(reports)
+	return true
+}
+
 // noteCrash marks the digests that were running when the backend server's process ended.
 func (n *Node) noteCrash() {
 	if !n.backend.gone() {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -246,6 +246,27 @@
 	require.Equal(t, fasthttp.StatusOK, r.StatusCode())
 }
 
+// Guards against a crash that counts for nothing because the backend server is back before its node looks.
+func TestCrashWithAQuickRestartCounts(t *testing.T) {
+	w := newWorld(t, chainInventory, chainRules)
+	var runs atomic.Int64
+	for range 4 {
+		w.station("nursery", func(ctx *fasthttp.RequestCtx, _ func(string, string, string) *fasthttp.Response) {
+			if string(ctx.Path()) == "/poison" {
+				runs.Add(1)
+				_ = ctx.Conn().Close()
+			}
+		})
+	}
+	entry := w.station("payments", text(""))
+	last := ""
+	for range 6 {
+		last = reason(w.send(entry.Addresses().Callers, "GET", "/nursery/poison", ""))
+	}
+	require.Equal(t, "quarantined", last)
+	require.LessOrEqual(t, runs.Load(), int64(2))
+}
+
 // Guards against a crash that is put down to no request, because the health check meets it before the calls in flight do.
 func TestHealthCheckThatMeetsACrashFirstReportsIt(t *testing.T) {
 	w := newWorld(t, chainInventory, chainRules)
--- a/node/serving.go
+++ b/node/serving.go
@@ -235,7 +235,7 @@
 		n.backend.cancel(f.context)
 	default:
 		n.noteCrash()
-		if !n.backend.isUp() {
+		if !n.backend.isUp() || n.noteBrokenCall(f, err) {
 			f.learn(f.level, max(int(f.meta.Crashes)+1, n.poison.crashes(n.clock.Now(), f.meta.Digest)))
 			n.awaitSpread(f.deadline)
 		}
