Keep heads in one place, follow a change of the backend server once, and drop dead names

Found on reading the whole change again; behaviour stays. - The request and answer heads, their parsing and the tokens of Connection stood in three files: mesh/head.go. - A new configuration, a new announcement and the end of the recovery set the limit and then did it again, with a second lock: reviewBackendLocked does it once under the lock that is held. - A split route built a text of its targets for each request to notice a change: the targets are compared. - Dead or double: dispatch.Busy, the private twin of Chooser.Typical, Announcement.Cold, Row.Table, an argument that was always nil, guards that the settings reader has itself, and rows read in two loops.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -88,9 +88,6 @@
 	Ran   time.Duration
 }
 
-// Busy means that there was no room within the wait that the call allowed.
-type Busy struct{}
-
 // Capped means that the backend server takes no more calls of the route now, because services below it are short of room.
 type Capped struct{ Route string }
 
@@ -100,11 +97,10 @@
 // Failed means that the backend server was reached and gave no answer that counts.
 type Failed struct{}
 
-// Ended means that nothing was learned, because the caller left or the time ran out.
+// Ended means that nothing was learned beyond the reported room: there was none in time, the caller left, or the time ran out.
 type Ended struct{}
 
 func (Answered) outcome() {}
-func (Busy) outcome()     {}
 func (Capped) outcome()   {}
 func (Unusable) outcome() {}
 func (Failed) outcome()   {}
@@ -184,7 +180,7 @@
 	}
 	wait := q.Within
 	if second != nil {
-		wait = min(wait, notNegative(secondCost-bestCost)+best.wait(now, c.run(q.Route)))
+		wait = min(wait, notNegative(secondCost-bestCost)+best.wait(now, c.Typical(q.Route)))
 	}
 	best.sent++
 	return Choice{Address: best.candidate.Address, Wait: wait, Region: best.candidate.Place.Region != c.home.Region,
@@ -195,7 +191,7 @@
 
 // cost returns the expected time to the answer, with what leaving the place must be worth.
 func (c *Chooser) cost(now time.Time, p *peer, q Query, random *kernel.Rand) time.Duration {
-	typical := c.run(q.Route)
+	typical := c.Typical(q.Route)
 	cost := time.Duration(float64(typical)*p.speed(now)) + p.wait(now, typical)
 	objective := q.Objective
 	if objective == 0 {
@@ -214,9 +210,7 @@
 }
 
 // Typical returns the usual run time of a route's calls.
-func (c *Chooser) Typical(route string) time.Duration { return c.run(route) }
-
-func (c *Chooser) run(route string) time.Duration {
+func (c *Chooser) Typical(route string) time.Duration {
 	if c.typical != nil {
 		if seconds := c.typical.Get(route); seconds != nil {
 			return time.Duration(*seconds * float64(time.Second))
@@ -308,7 +302,7 @@
 			p.capped = kernel.NewTable[string, time.Time](maxCapped)
 		}
 		*p.capped.Put(o.Route) = now.Add(cappedLife)
-	case Busy, Ended:
+	case Ended:
 	}
 }
 
--- a/link/session.go
+++ b/link/session.go
@@ -205,8 +205,6 @@
 	}
 	if !c.cancelled {
 		c.answer = payload
-	}
-	if !c.cancelled {
 		c.conn.send(frame{kind: kindAnswer, number: c.number, payload: payload})
 	}
 }
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -63,18 +63,16 @@
 		return recorded || n.record(a.Backend)
 	}
 	n.backendChangedLocked(a)
+	kept := n.reviewBackendLocked()
 	n.mu.Unlock()
+	n.transport.Connect(kept)
 	n.log.Info("backend-server-heard", "id", a.Backend.ID, "born", a.Backend.Born, "sequence", a.Sequence, "gone", a.Gone,
 		"leaving", a.Leaving, "serving", heard == directory.HeardServing, "before", current.ID)
-	n.reviewBackend()
 	if heard == directory.HeardLeaving {
 		return n.record(a.Backend)
 	}
 	n.transport.Broadcast(n.ownNews())
-	n.group.Go("write-node", func(ctx context.Context) error {
-		n.writeNode(ctx)
-		return nil
-	})
+	n.writeNodeSoon()
 	return true
 }
 
@@ -94,7 +92,6 @@
 	if a.Service != "" {
 		n.service = a.Service
 	}
-	n.limitLocked()
 }
 
 // limitLocked sets how many calls the own backend server runs at once.
@@ -124,19 +121,16 @@
 	}
 }
 
-// reviewBackend follows a change of the own backend server: calls that wait for one that takes none go elsewhere at once,
-// and other nodes are kept in mind by where they stand.
-func (n *Node) reviewBackend() {
-	n.mu.Lock()
+// reviewBackendLocked follows a change of the own backend server: calls that wait for one that takes none go elsewhere at
+// once. It returns the nodes to keep connections to.
+func (n *Node) reviewBackendLocked() []string {
 	_, state := n.tracker.Current()
 	if state != directory.Serving {
 		n.applyAsync(n.queue.Close())
 	} else {
 		n.limitLocked()
 	}
-	kept := n.directoryChangedLocked()
-	n.mu.Unlock()
-	n.transport.Connect(kept)
+	return n.directoryChangedLocked()
 }
 
 // record puts the leaving of the own backend server on record: in the store, or with other nodes while the store is away.
@@ -178,6 +172,14 @@
 	return held
 }
 
+// writeNodeSoon has the row of this node written while the caller goes on.
+func (n *Node) writeNodeSoon() {
+	n.group.Go("write-node", func(ctx context.Context) error {
+		n.writeNode(ctx)
+		return nil
+	})
+}
+
 // writeNode writes the row of this node until it stands in the store, and reports whether it does. Each write expects the
 // version that is known, so that one whose answer was lost and that takes effect late can't undo a later one.
 func (n *Node) writeNode(ctx context.Context) bool {
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -6,14 +6,12 @@
 	"context"
 	"errors"
 	"net"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"lovagelane/call"
 	"lovagelane/directory"
 	"lovagelane/hangup"
 	"lovagelane/link"
@@ -157,7 +155,7 @@
 
 // exchange sends a call to the backend server with the given id and reads its answer.
 func (b *backend) exchange(j *job, id string, remaining time.Duration) exchanged {
-	h, err := requestHead(j.m.Head)
+	h, err := parseRequestHead(j.m.Head)
 	if err != nil {
 		return exchanged{end: endExpired, why: "head-unreadable"}
 	}
@@ -254,32 +252,6 @@
 	b.put(b.n.clock.Now(), k)
 }
 
-func requestHead(b []byte) (*fasthttp.RequestHeader, error) {
-	h := &fasthttp.RequestHeader{}
-	h.SetNoDefaultContentType(true)
-	err := h.Read(bufio.NewReaderSize(bytes.NewReader(b), max(len(b), 16)))
-	return h, err
-}
-
-// answerHead returns the status line and the headers that are passed on.
-func answerHead(h *fasthttp.ResponseHeader) []byte {
-	var out fasthttp.ResponseHeader
-	h.CopyTo(&out)
-	out.SetNoDefaultContentType(true)
-	for _, name := range strings.Split(string(h.Peek(fasthttp.HeaderConnection)), ",") {
-		if name = strings.TrimSpace(name); name != "" {
-			out.Del(name)
-		}
-	}
-	for key := range h.All() {
-		if name := string(key); call.ConnectionHeader(name) && name != fasthttp.HeaderContentLength {
-			out.Del(name)
-		}
-	}
-	out.ResetConnectionClose()
-	return bytes.Clone(out.Header())
-}
-
 // noteLost finds out whether the backend server ended while a call ran, and records the calls that were running then.
 func (n *Node) noteLost(j *job, current directory.Incarnation, x exchanged) bool {
 	if j.isCancelled() || x.why == "backend-server-timeout" {
@@ -318,7 +290,6 @@
 		}
 	}
 	reports := n.poison.Crashed(now, b.ID+"@"+time.UnixMilli(b.Born).UTC().Format(time.RFC3339Nano), digests)
-	n.limitLocked()
 	kept := n.directoryChangedLocked()
 	n.mu.Unlock()
 	n.transport.Connect(kept)
--- a/mesh/carry.go
+++ b/mesh/carry.go
@@ -143,8 +143,6 @@
 	case endAnswered:
 		r.sent++
 		o = dispatch.Answered{Route: r.route.Name, Ran: time.Duration(a.RanMicros) * time.Microsecond}
-	case endBusy:
-		o = dispatch.Busy{}
 	case endCapped:
 		o = dispatch.Capped{Route: r.route.Name}
 	case endUnusable:
--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -77,13 +77,10 @@
 	Service string
 	Address string
 	Slots   int
-	// Cold is how long the backend server stays slow after its start.
-	Cold time.Duration
 }
 
 // Row is a row of the operators' store.
 type Row struct {
-	Table   string
 	Key     string
 	Value   []byte
 	Version uint64
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"bytes"
 	"errors"
 	"net"
 	"strconv"
@@ -134,7 +133,7 @@
 	}
 	r.deadline = now.Add(remaining)
 	r.digest = call.Digest(string(h.Method()), string(h.Host())+string(h.RequestURI()), r.body)
-	r.head = headOf(h, len(r.body))
+	r.head = requestHead(h, len(r.body))
 	n.plan(now, r, remaining)
 	return r, nil
 }
@@ -162,29 +161,6 @@
 	return max(early, remaining-runReserve*typical)
 }
 
-// headOf returns the request line and the headers that are passed on.
-func headOf(h *fasthttp.RequestHeader, body int) []byte {
-	var out fasthttp.RequestHeader
-	h.CopyTo(&out)
-	out.SetNoDefaultContentType(true)
-	for _, name := range strings.Split(string(h.Peek(fasthttp.HeaderConnection)), ",") {
-		if name = strings.TrimSpace(name); name != "" && !strings.EqualFold(name, fasthttp.HeaderHost) {
-			out.Del(name)
-		}
-	}
-	for key := range h.All() {
-		if name := string(key); call.ConnectionHeader(name) {
-			out.Del(name)
-		}
-	}
-	out.ResetConnectionClose()
-	out.SetProtocol("HTTP/1.1")
-	if body > 0 || !h.IsGet() && !h.IsHead() {
-		out.SetContentLength(body)
-	}
-	return bytes.Clone(out.Header())
-}
-
 // unroutable means that the configuration does not allow the request.
 type unroutable struct {
 	status int
@@ -217,7 +193,7 @@
 }
 
 func (n *Node) writeServed(ctx *fasthttp.RequestCtx, r *request, a answerMessage) {
-	h, err := readHead(a.Head)
+	h, err := parseAnswerHead(a.Head)
 	if err != nil {
 		n.write(ctx, r, failedResult{why: "answer-unreadable"})
 		return
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -274,7 +274,7 @@
 	ctx.SetBody(b.Bytes())
 }
 
-// self returns what this node states of itself.
+// selfLocked returns what this node states of itself.
 func (n *Node) selfLocked() directory.Node {
 	backend, state := n.tracker.Current()
 	return directory.Node{Address: n.settings.CallsAddress, Service: n.service, Region: n.settings.Region,
@@ -318,11 +318,11 @@
 	n.config.Store(cfg)
 	n.configText = value
 	n.behind.config = time.Time{}
-	n.limitLocked()
+	kept := n.reviewBackendLocked()
 	n.mu.Unlock()
+	n.transport.Connect(kept)
 	n.log.Info("config-in-force", "version", cfg.Version(), "routes", len(cfg.Routes()), "source", source)
 	n.metrics.Set("config-version", int64(cfg.Version()))
-	n.reviewBackend()
 }
 
 // Wait returns when the node has failed or was stopped.
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -1,8 +1,6 @@
 package mesh
 
 import (
-	"bufio"
-	"bytes"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -258,11 +256,3 @@
 	tell(ends)
 	j.settle(a)
 }
-
-// readHead reads the status line and headers of an answer.
-func readHead(b []byte) (*fasthttp.ResponseHeader, error) {
-	h := &fasthttp.ResponseHeader{}
-	h.SetNoDefaultContentType(true)
-	err := h.Read(bufio.NewReaderSize(bytes.NewReader(b), max(len(b), 16)))
-	return h, err
-}
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -172,10 +172,7 @@
 	n.transport.Connect(kept)
 	n.metrics.Set("nodes", int64(count))
 	if rewrite {
-		n.group.Go("write-node", func(ctx context.Context) error {
-			n.writeNode(ctx)
-			return nil
-		})
+		n.writeNodeSoon()
 	}
 }
 
@@ -194,9 +191,10 @@
 		now := n.clock.Now()
 		n.mu.Lock()
 		done := n.recovery.listed || !n.recovery.greeted.IsZero() && now.Sub(n.recovery.greeted) > recoveryWait
+		var kept []string
 		if done {
 			n.recovery.done = true
-			n.limitLocked()
+			kept = n.reviewBackendLocked()
 		}
 		source := "store"
 		if !n.recovery.listed {
@@ -204,8 +202,8 @@
 		}
 		n.mu.Unlock()
 		if done {
+			n.transport.Connect(kept)
 			n.log.Info("recovered", "source", source, "took", now.Sub(n.recovery.started))
-			n.reviewBackend()
 			return nil
 		}
 		wait(ctx, recoveryCheck)
--- a/routing/config.go
+++ b/routing/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -137,12 +136,3 @@
 	}
 	return nil, false
 }
-
-// signature identifies the targets and weights of a route.
-func (r *Route) signature() string {
-	var b strings.Builder
-	for _, t := range r.Targets {
-		fmt.Fprintf(&b, "%s=%d ", t.Service, t.Weight)
-	}
-	return b.String()
-}
--- a/routing/split.go
+++ b/routing/split.go
@@ -1,6 +1,10 @@
 package routing
 
-import "lovagelane/kernel"
+import (
+	"slices"
+
+	"lovagelane/kernel"
+)
 
 // maxSplits bounds the routes whose shares are kept.
 const maxSplits = 4096
@@ -14,8 +18,9 @@
 }
 
 type split struct {
-	signature string
-	current   []int
+	// targets are those that the sequence is for.
+	targets []Target
+	current []int
 }
 
 // Next returns the service for the next request of a route. The start of a new sequence is random, so that many nodes
@@ -28,8 +33,8 @@
 		s.routes = kernel.NewTable[string, split](maxSplits)
 	}
 	state := s.routes.Put(r.Name)
-	if signature := r.signature(); state.signature != signature {
-		state.signature, state.current = signature, make([]int, len(r.Targets))
+	if !slices.Equal(state.targets, r.Targets) {
+		state.targets, state.current = slices.Clone(r.Targets), make([]int, len(r.Targets))
 		for range random.IntN(r.weights()) {
 			state.next(r)
 		}
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -107,25 +107,20 @@
 		ReadyListen:      r.announced(s, "ready-listen"),
 		AnnounceListen:   r.announced(s, "announce-listen"),
 		CallsListen:      r.announced(s, "calls-listen"),
+		CallsAddress:     r.peer(s, "calls-address"),
+		AdminListen:      text(r.address(s, "admin-listen")),
 		Store:            r.peer(s, "store"),
+		MemoryMB:         r.Int(s, "memory-mb", 1, maxMemoryMB),
+		Grace:            r.Duration(s, "grace", longestGrace),
+		RepeatRatio:      r.ratio(s, "repeat-ratio"),
+		RepeatsAllowed:   r.Int(s, "repeats-allowed", 0, maxRepeats),
+		RepeatWindow:     r.Duration(s, "repeat-window", longestWindow),
 	}
-	m.CallsAddress = m.CallsListen
-	if _, ok := s.Value("calls-address"); ok {
-		m.CallsAddress = r.peer(s, "calls-address")
+	if m.CallsAddress == "" {
+		m.CallsAddress = m.CallsListen
 	}
-	if _, ok := s.Value("admin-listen"); ok {
-		m.AdminListen = text(r.address(s, "admin-listen"))
-	}
-	if _, ok := s.Value("memory-mb"); ok {
-		m.MemoryMB = r.Int(s, "memory-mb", 1, maxMemoryMB)
-	}
-	m.Grace = r.Duration(s, "grace", longestGrace)
-	m.RepeatRatio = r.ratio(s, "repeat-ratio")
-	if _, ok := s.Value("repeats-allowed"); ok {
-		m.RepeatsAllowed = r.Int(s, "repeats-allowed", 0, maxRepeats)
-	}
-	m.RepeatWindow = r.Duration(s, "repeat-window", longestWindow)
 	for _, key := range []string{"callers-listen", "ready-listen", "announce-listen", "calls-listen", "admin-listen"} {
+		// A mesh node has no admin address of its own accord.
 		if _, ok := s.Value(key); ok {
 			r.checkListener(s, key)
 		}
--- a/slots/queue.go
+++ b/slots/queue.go
@@ -77,7 +77,7 @@
 // SetLimit changes the number of calls that may run at once and returns the calls that start.
 func (q *Queue) SetLimit(limit int) []Event {
 	q.limit = max(limit, 0)
-	return q.start(nil)
+	return q.start()
 }
 
 // Limit returns the number of calls that may run at once.
@@ -134,7 +134,7 @@
 	} else {
 		q.run += (seconds - q.run) * runGain
 	}
-	return q.start(nil)
+	return q.start()
 }
 
 // Cancel takes a call out of the queue, or ends one that runs without learning from it.
@@ -147,7 +147,7 @@
 		return nil
 	}
 	delete(q.running, id)
-	return q.start(nil)
+	return q.start()
 }
 
 // Expire returns the calls whose latest start has passed.
@@ -170,7 +170,9 @@
 	return l
 }
 
-func (q *Queue) start(events []Event) []Event {
+// start starts waiting calls while slots are free.
+func (q *Queue) start() []Event {
+	var events []Event
 	for q.order.Len() > 0 && len(q.running) < q.limit {
 		e := q.order.entries[0]
 		q.remove(e)
