Take a leaving for recorded only when its row was written

The channel that says that the row stands in the store was signalled as well when the write was given up because the node ends, and the leaving could then be acknowledged without a record. It is closed only after a write now.

--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -138,9 +138,11 @@
 	ctx, cancel := context.WithTimeout(n.group.Context(), recordTimeout)
 	defer cancel()
 	held := n.askToHold(b)
-	written := make(chan bool, 1)
+	written := make(chan struct{})
 	n.group.Go("record-leaving", func(group context.Context) error {
-		written <- n.writeNode(group)
+		if n.writeNode(group) {
+			close(written)
+		}
 		return nil
 	})
 	where := "store"
