Take calls of other nodes while a node stops, if they end in time

Cause: a node refused every call of another node from SIGTERM on, and a stop takes 3 to 5 s.

Change: for the first part of a stop, calls are taken whose deadline lies within the grace. TestStopCutsNothingOff still holds: calls that might be cut off go elsewhere. TestStoppingNodeTakesCallsOfOthersThatEndInTime failed before.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -97,7 +97,9 @@
 	config     atomic.Pointer[routing.Config]
 	stopping   atomic.Bool
 	// ends is set in the last part of a stop, in which only requests that end before it are taken.
-	ends     atomic.Pointer[time.Time]
+	ends atomic.Pointer[time.Time]
+	// callsEnd is set in the first part of a stop, in which only calls of other nodes that end before it are taken.
+	callsEnd atomic.Pointer[time.Time]
 	requests atomic.Int64
 
 	mu sync.Mutex
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -65,7 +65,7 @@
 func (n *Node) arriveLocked(now time.Time, j *job) (answerMessage, bool) {
 	_, state := n.tracker.Current()
 	switch {
-	case n.stopping.Load() && j.other:
+	case n.stopping.Load() && j.other && !n.takesCall(j.deadline):
 		return n.answerLocked(j, endUnusable, "stopping"), true
 	case j.m.Service != n.service:
 		return n.answerLocked(j, endUnusable, "other-service"), true
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -11,7 +11,8 @@
 	// defaultGrace is the time to stop when the deployment states none.
 	defaultGrace = 6 * time.Second
 	// leaveTime is how long a stopping node goes on taking requests: callers are told by the readiness question, which is
-	// asked once a second and must fail twice. After that only requests that end within the grace are taken.
+	// asked once a second and must fail twice. After that only requests that end within the grace are taken, and none of
+	// other nodes.
 	leaveTime = 2800 * time.Millisecond
 	// stopReserve is the end of the grace in which connections are closed. A process that gets its share of the processor in
 	// quotas of 100 ms needs several of them for that.
@@ -20,17 +21,19 @@
 	stopCheck = 20 * time.Millisecond
 )
 
-// Stop takes the node out of service without cutting off a request: other nodes are refused at once and go elsewhere,
-// callers are told to leave, and what is under way is finished within the grace.
+// Stop takes the node out of service without cutting off a request: callers are told to leave, calls of other nodes are
+// taken for as long if they end in time, and what is under way is finished within the grace.
 func (n *Node) Stop() error {
 	start := n.clock.Now()
-	if !n.stopping.CompareAndSwap(false, true) {
-		return nil
-	}
 	grace := n.settings.Grace
 	if grace == 0 {
 		grace = defaultGrace
 	}
+	end := start.Add(grace - stopReserve - answerMargin)
+	if !n.stopping.CompareAndSwap(false, true) {
+		return nil
+	}
+	n.callsEnd.Store(&end)
 	n.log.Info("node-stopping", "requests", n.requests.Load(), "grace", grace)
 	n.mu.Lock()
 	_, state := n.tracker.Current()
@@ -43,7 +46,8 @@
 	ctx, cancel := context.WithTimeout(n.group.Context(), grace-stopReserve)
 	defer cancel()
 	wait(ctx, min(leaveTime, grace/2))
-	n.takeUntil(start.Add(grace - stopReserve - answerMargin))
+	n.callsEnd.Store(nil)
+	n.takeUntil(end)
 	n.finishAll(ctx)
 	// A request that arrives from here on would lose its connection.
 	n.takeUntil(start)
@@ -72,6 +76,12 @@
 // takeUntil has requests refused that may end later.
 func (n *Node) takeUntil(end time.Time) { n.ends.Store(&end) }
 
+// takesCall reports whether a node that stops takes a call of another one, which has other backend servers to go to.
+func (n *Node) takesCall(deadline time.Time) bool {
+	end := n.callsEnd.Load()
+	return end != nil && !deadline.After(*end)
+}
+
 // finishAll waits until nothing is under way or ctx ends.
 func (n *Node) finishAll(ctx context.Context) {
 	for ctx.Err() == nil && n.underWay() > 0 {
