Read the directory's feed at most every 2.5 s

Change: the pause between two reads grows from 1 s to 2.5 s, and one is made after the first list too. Neighbours compare versions each second meanwhile, so that news still spreads within 2 s.

--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -15,7 +15,8 @@
 	firstPause   = 200 * time.Millisecond
 	longestPause = 2 * time.Second
 	// gather is the pause between two reads of the directory's feed, so that changes that come together are read together.
-	gather = time.Second
+	// Calls of the store are paid, and nodes that read it sooner tell their neighbours meanwhile.
+	gather = 2500 * time.Millisecond
 	// recoveryWait is how long a node that has started waits for other nodes to tell what they hold for it, when the
 	// store can't be read.
 	recoveryWait = 1500 * time.Millisecond
@@ -53,6 +54,7 @@
 		}
 		pause = firstPause
 		all(rows, version)
+		wait(ctx, n.rand.Jitter(gather, 0.5))
 		for ctx.Err() == nil {
 			rows, next, err := n.store.Feed(ctx, table, version, feedWait)
 			if errors.Is(err, ErrHistoryGone) {
