Remove the row of a node only after an attempt to reach it has just failed

The time for which a node counts as out of reach ran from the first failed connection attempt until the next connection. A node that was back, and that nobody had called since, still counted as out of reach, and the next check of its region removed its row again.

Change: the time runs from the first to the last failed attempt in a row, and the check makes an attempt of its own before a row is removed.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -214,6 +214,17 @@
 	require.Equal(t, link.Lost{}, result(t, a.transport.Peer(b.address).Call([]byte("order"))))
 }
 
+// Guards against a node that counts as unreachable since a call that failed long ago, although it is back and nobody has
+// called it since.
+func TestNodeThatIsBackIsReachable(t *testing.T) {
+	a, b := start(t, 1, "127.0.0.1:0"), start(t, 2, "127.0.0.1:0")
+	b.stop()
+	require.Equal(t, link.Lost{}, result(t, a.transport.Peer(b.address).Call([]byte("order"))))
+	require.NotZero(t, a.transport.Unreachable(b.address))
+	start(t, 3, b.address)
+	require.Zero(t, a.transport.Unreachable(b.address))
+}
+
 // Guards against a receiver that works on for a call which nobody waits for, also when the cancellation was lost with its
 // connection, or the sender is gone.
 func TestCancellationReachesTheReceiver(t *testing.T) {
--- a/link/peer.go
+++ b/link/peer.go
@@ -66,10 +66,11 @@
 	next        uint64
 	pending     map[uint64]*Pending
 	failures    int
-	// failedAt is when the first of the failed connection attempts in a row ended.
-	failedAt time.Duration
-	redialAt time.Duration
-	used     time.Duration
+	// failedAt and lastFailure are when the first and the last of the failed connection attempts in a row ended.
+	failedAt    time.Duration
+	lastFailure time.Duration
+	redialAt    time.Duration
+	used        time.Duration
 	// pinged is when the last ping was sent, and waiting says that nothing was read since.
 	pinged  time.Duration
 	waiting bool
@@ -130,14 +131,26 @@
 	}
 }
 
-// unreachable returns for how long no connection could be opened; 0 when none was tried since the last one.
+// unreachable returns the time between the first and the last of the connection attempts that have failed in a row.
 func (p *Peer) unreachable() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.failures == 0 || p.conn != nil {
 		return 0
 	}
-	return p.t.age() - p.failedAt
+	// An attempt that has just failed for the first time counts too.
+	return max(p.lastFailure-p.failedAt, 1)
+}
+
+// reach waits for a connection attempt unless a connection is open or another attempt is under way.
+func (p *Peer) reach() {
+	p.mu.Lock()
+	vain := p.conn != nil || p.dialing || p.t.group.Context().Err() != nil
+	p.dialing = p.dialing || !vain
+	p.mu.Unlock()
+	if !vain {
+		p.dial()
+	}
 }
 
 func (p *Peer) notify(notice []byte) bool {
@@ -177,6 +190,7 @@
 		p.failedAt = p.t.age()
 	}
 	p.failures++
+	p.lastFailure = p.t.age()
 	p.redialAt = p.t.age() + min(longestRedial, firstRedial<<min(p.failures, 10))
 	lost := refused || p.t.age()-p.failedAt >= lostAfter
 	for number, c := range p.pending {
--- a/link/transport.go
+++ b/link/transport.go
@@ -135,8 +135,16 @@
 	}
 }
 
-// Unreachable returns for how long no connection to a node could be opened; 0 when none was tried since the last one.
-func (t *Transport) Unreachable(address string) time.Duration { return t.Peer(address).unreachable() }
+// Unreachable returns for how long every attempt to connect to a node has failed; 0 when none was made since the last
+// connection. It makes another attempt if earlier ones have failed, since they may have been long ago.
+func (t *Transport) Unreachable(address string) time.Duration {
+	p := t.Peer(address)
+	if p.unreachable() == 0 {
+		return 0
+	}
+	p.reach()
+	return p.unreachable()
+}
 
 // Notify sends a notice to a node if a connection is open, and reports whether it was sent.
 func (t *Transport) Notify(address string, notice []byte) bool {
