Wait for a streamed body in transit before an attempt counts as lost; accept the reset at the dial

Cause: handleState took two answers of 'not known' from the serving node as a lost connection. Change: an unknown streamed attempt counts only once the body was handed over 2 s ago. The new test delays the connection by 400 ms: 502 before, 200 after. standin.TestBackendServerConnections expected the reset after the dial; it may arrive during it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 # Exactly the tests that KNOWN-RED.txt lists, as in ^(TestOne|TestTwo)$$; ^$$ skips none.
-KNOWN_RED := ^(TestBackendServerConnections|TestCallersGetTheirOwnCompleteAnswers)$$
+KNOWN_RED := ^$$
 
 .PHONY: build format lint test demo bench clean
 
--- a/node/body.go
+++ b/node/body.go
@@ -4,11 +4,13 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/call"
+	"lovagelane/kernel"
 )
 
 const (
@@ -26,21 +28,42 @@
 
 // streamed is a body that is forwarded as it arrives, which can be sent only once.
 type streamed struct {
-	r      io.Reader
+	r      *progressReader
 	length int
 }
 
+// progressReader is the stream of a body that records when it was last read.
+type progressReader struct {
+	r     io.Reader
+	clock kernel.Clock
+	// lastRead is when the last read returned, in Unix nanoseconds; 0 means never.
+	lastRead atomic.Int64
+}
+
+// Read reads from the stream.
+func (p *progressReader) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	p.lastRead.Store(p.clock.Now().UnixNano())
+	return n, err
+}
+
+// quietFor reports whether the stream was read, and not within the last d.
+func (p *progressReader) quietFor(d time.Duration) bool {
+	last := p.lastRead.Load()
+	return last != 0 && p.clock.Now().UnixNano()-last >= int64(d)
+}
+
 func (b buffered) size() int { return len(b) }
 func (b streamed) size() int { return b.length }
 
 // readBody reads a body of at most maxBufferedBody bytes into memory and returns a larger one as a stream.
-func readBody(ctx *fasthttp.RequestCtx, limit int64) (body, call.Reason) {
+func readBody(ctx *fasthttp.RequestCtx, limit int64, clock kernel.Clock) (body, call.Reason) {
 	length := ctx.Request.Header.ContentLength()
 	if limit > 0 && int64(length) > limit {
 		return nil, call.ReasonBodyTooLarge
 	}
 	if length > maxBufferedBody {
-		return streamed{r: ctx.RequestBodyStream(), length: length}, call.ReasonNone
+		return streamed{r: &progressReader{r: ctx.RequestBodyStream(), clock: clock}, length: length}, call.ReasonNone
 	}
 	r := ctx.RequestBodyStream()
 	if r == nil {
--- a/node/caller.go
+++ b/node/caller.go
@@ -69,7 +69,7 @@
 		return matchedRequest{}, false
 	}
 	op := cfg.Operation(name, string(ctx.Method()), path)
-	b, reason := readBody(ctx, service.MaxBody)
+	b, reason := readBody(ctx, service.MaxBody, n.clock)
 	if reason != call.ReasonNone {
 		discardBody(ctx)
 		ctx.SetConnectionClose()
--- a/node/hedge.go
+++ b/node/hedge.go
@@ -11,6 +11,10 @@
 // answer to the attempt counts as lost. At the first such query, the answer may still be in transit.
 const maxMisses = 2
 
+// streamTransitTime is how long the last bytes of a streamed body may be in transit before an attempt that the serving node
+// does not know counts as lost. A large body on a new connection reaches a busy node much later than a query does.
+const streamTransitTime = 2 * time.Second
+
 // race selects the first answer among the attempts of a hedgedAttempt. The other results are discarded.
 type race struct {
 	mu      sync.Mutex
@@ -127,6 +131,12 @@
 	return ok
 }
 
+// inTransit reports whether a streamed body may still be on its way to the serving node.
+func (h *hedgedAttempt) inTransit() bool {
+	b, ok := h.out.body.(streamed)
+	return ok && !b.r.quietFor(streamTransitTime)
+}
+
 // hedgeAfter returns the delay before a hedged attempt, or a delay beyond the deadline when the call must not be hedged.
 func (h *hedgedAttempt) hedgeAfter(hedgeDelay time.Duration) time.Duration {
 	if hedgeDelay == 0 || h.out.op.NonIdempotent || h.isStreamed() || h.out.budget.remaining() == 0 {
@@ -214,8 +224,11 @@
 		a.settled = true
 		return storedAnswer{result.state.Answer}, true
 	default:
+		if h.out.op.NonIdempotent || h.inTransit() {
+			return nil, false
+		}
 		a.misses++
-		if h.out.op.NonIdempotent || a.misses < maxMisses {
+		if a.misses < maxMisses {
 			return nil, false
 		}
 		a.peer.replaceClient(a.client)
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"lovagelane/kernel"
 	"lovagelane/membership"
@@ -21,11 +24,14 @@
 
 	mu   sync.Mutex
 	open []*relayConn
+	// delayNext delays everything that the caller sends on the next connection.
+	delayNext time.Duration
 }
 
 // relayConn is a connection through the relay.
 type relayConn struct {
-	a, b net.Conn
+	a, b    net.Conn
+	delayUp time.Duration
 
 	mu sync.Mutex
 	// dropUp and dropDown discard what the caller and what the other end sends.
@@ -61,14 +67,15 @@
 		}
 		p := &relayConn{a: a, b: b}
 		r.mu.Lock()
+		p.delayUp, r.delayNext = r.delayNext, 0
 		r.open = append(r.open, p)
 		r.mu.Unlock()
-		r.group.Go("up", func(context.Context) error { return p.forward(b, a, &p.dropUp) })
-		r.group.Go("down", func(context.Context) error { return p.forward(a, b, &p.dropDown) })
+		r.group.Go("up", func(context.Context) error { return p.forward(b, a, &p.dropUp, p.delayUp) })
+		r.group.Go("down", func(context.Context) error { return p.forward(a, b, &p.dropDown, 0) })
 	}
 }
 
-func (p *relayConn) forward(to, from net.Conn, discard *bool) error {
+func (p *relayConn) forward(to, from net.Conn, discard *bool, delay time.Duration) error {
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
@@ -81,6 +88,7 @@
 			}
 			return nil
 		}
+		time.Sleep(delay)
 		p.mu.Lock()
 		drop := *discard
 		p.mu.Unlock()
@@ -133,3 +141,30 @@
 		})
 	}
 }
+
+// Guards against a streamed request that is reported as lost because its node is asked about it while its body is still on the
+// way over a new connection, as happens on a busy machine.
+func TestStreamedRequestInTransitIsNotLost(t *testing.T) {
+	d := newDeployment(t, chainInventory, chainRules)
+	var r *relay
+	d.announceAs = func(m membership.Member) membership.Member {
+		if m.Service == "payments" {
+			if r == nil {
+				r = newRelay(t, m.Calls)
+			}
+			m.Calls = r.ln.Addr().String()
+		}
+		return m
+	}
+	d.startInstance("payments", func(ctx *fasthttp.RequestCtx, _ func(string, string, string) *fasthttp.Response) {
+		ctx.SetBody(ctx.PostBody())
+	})
+	entry := d.startInstance("nursery", text("ordered"))
+	r.mu.Lock()
+	r.delayNext = 400 * time.Millisecond
+	r.mu.Unlock()
+	photograph := strings.Repeat("x", 200_000)
+	answer := d.send(entry.Addresses().Callers, "PUT", "/payments/photograph", photograph)
+	require.Equal(t, fasthttp.StatusOK, answer.StatusCode(), reason(answer))
+	require.Equal(t, photograph, string(answer.Body()))
+}
--- a/node/serving.go
+++ b/node/serving.go
@@ -78,7 +78,7 @@
 
 func (n *Node) decodeAttemptQuery(ctx *fasthttp.RequestCtx) (attemptQuery, error) {
 	var q attemptQuery
-	b, reason := readBody(ctx, maxBufferedBody)
+	b, reason := readBody(ctx, maxBufferedBody, n.clock)
 	message, ok := b.(buffered)
 	if reason != call.ReasonNone || !ok {
 		return q, Err.New("the message is not readable: %s", reason)
@@ -114,7 +114,7 @@
 		n.answerRefusal(ctx, nil, meta, refusal(reason, call.OutcomeNotRun, meta.Rule))
 		return
 	}
-	b, reason := readBody(ctx, 0)
+	b, reason := readBody(ctx, 0, n.clock)
 	if reason != call.ReasonNone {
 		n.answerRefusal(ctx, nil, meta, refusal(reason, call.OutcomeNotRun, meta.Rule))
 		return
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -8,8 +8,8 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -218,12 +218,13 @@
 	_, url := startBackend(t, BackendOptions{Slots: 2, Connections: 1})
 	send(t, "GET", url+"/health", "")
 	c, err := net.Dial("tcp", url[len("http://"):])
-	require.NoError(t, err)
-	defer c.Close()
-	require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
-	_, err = c.Read(make([]byte, 1))
-	require.Error(t, err)
-	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	if err == nil {
+		defer c.Close()
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+		_, err = c.Read(make([]byte, 1))
+	}
+	// The reset may arrive before the dial returns.
+	require.ErrorIs(t, err, syscall.ECONNRESET)
 }
 
 // Guards against planned calls without the context of the parent call, against missing or unplanned calls, and against
