Weigh the distance of a call by its bytes instead of its objective

In the region short of room, pricing calls waited 130 ms and ran 92 ms where 32 ms and a free slot were 60 ms away, five times in a row, and whole lot-history requests stayed until they failed at 1.1 s, since leaving had to save 600 to 750 ms. Change: what a call must save by leaving its zone or region is proportional to the bytes that it moves, learned by route. The traffic is billed by volume, so small nested calls spill early and large answers stay.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -13,10 +13,12 @@
 	// crossZoneRoundTrip and crossRegionRoundTrip are the round trips to another availability zone and to another region.
 	crossZoneRoundTrip   = time.Millisecond
 	crossRegionRoundTrip = 60 * time.Millisecond
-	// crossZonePenaltyShare and crossRegionPenaltyShare are the fractions of the objective that a call must save by leaving
-	// its availability zone or region, because traffic on those links is billed.
-	crossZonePenaltyShare   = 0.05
-	crossRegionPenaltyShare = 0.5
+	// crossZonePenalty and crossRegionPenalty are the times that a call must save by leaving its availability zone or region,
+	// for each KB that it moves, because traffic on those links is billed by volume.
+	crossZonePenalty   = 5 * time.Millisecond
+	crossRegionPenalty = 40 * time.Millisecond
+	// initialCallBytes is the size of a call, request and answer together, assumed for a route without answers.
+	initialCallBytes = 2 << 10
 	// utilizationPenaltyShare is the fraction of the typical run time that full utilization adds to the cost. It only breaks
 	// ties among backend servers of the same place.
 	utilizationPenaltyShare = 0.02
@@ -36,11 +38,11 @@
 	// failurePenalty is the cost of a failure as a multiple of the objective: at best the call is late, at worst the work of
 	// its callers is lost.
 	failurePenalty = 2
-	// typicalSmoothing is the weight of one answer in the moving average of a route's run time.
+	// typicalSmoothing is the weight of one answer in the moving averages of a route's run time and size.
 	typicalSmoothing = 0.05
 	// initialTypicalRunTime is the typical run time assumed for a route without answers.
 	initialTypicalRunTime = 100 * time.Millisecond
-	// maxRoutes bounds the number of routes whose typical run time is stored.
+	// maxRoutes bounds the number of routes whose profile is stored.
 	maxRoutes = 4096
 	// routeCapTTL is how long a backend server that refused a call because of its route cap is excluded for that route.
 	routeCapTTL = 300 * time.Millisecond
@@ -84,10 +86,13 @@
 // Outcome is the observed result of a call: Answered, Capped, Unusable, Failed or Inconclusive.
 type Outcome interface{ outcome() }
 
-// Answered means that the backend server ran the call; RunTime is how long that took.
+// Answered means that the backend server ran the call.
 type Answered struct {
-	Route   string
+	Route string
+	// RunTime is how long the call ran.
 	RunTime time.Duration
+	// Bytes is the size of the request and the answer.
+	Bytes int
 }
 
 // Capped means that the backend server accepts no more calls of the route now, because services that it calls are short of
@@ -116,7 +121,13 @@
 	home      balance.Place
 	peers     map[string]*peer
 	byService map[string][]*peer
-	typical   *kernel.LRU[string, float64]
+	profiles  *kernel.LRU[string, profile]
+}
+
+// profile is what the calls of a route typically take.
+type profile struct {
+	// seconds is the moving average of the run time, and bytes that of the size of request and answer; 0 means unknown.
+	seconds, bytes float64
 }
 
 // peer holds the observations of a candidate.
@@ -204,11 +215,12 @@
 	if objective == 0 {
 		objective = defaultObjective
 	}
+	kilobytes := c.typicalBytes(q.Route) / (1 << 10)
 	switch place := p.candidate.Place; {
 	case place.Region != c.home.Region:
-		cost += crossRegionRoundTrip + time.Duration(crossRegionPenaltyShare*float64(objective))
+		cost += crossRegionRoundTrip + time.Duration(kilobytes*float64(crossRegionPenalty))
 	case place != c.home:
-		cost += crossZoneRoundTrip + time.Duration(crossZonePenaltyShare*float64(objective))
+		cost += crossZoneRoundTrip + time.Duration(kilobytes*float64(crossZonePenalty))
 	}
 	cost += time.Duration(failurePenalty * p.currentFailureRate(now) * float64(objective))
 	// Utilization breaks ties between equal candidates, then random jitter does.
@@ -218,14 +230,28 @@
 
 // TypicalRunTime returns the typical run time of a route's calls, a moving average.
 func (c *Chooser) TypicalRunTime(route string) time.Duration {
-	if c.typical != nil {
-		if seconds := c.typical.Get(route); seconds != nil {
-			return time.Duration(*seconds * float64(time.Second))
-		}
+	if p := c.profile(route); p != nil {
+		return time.Duration(p.seconds * float64(time.Second))
 	}
 	return initialTypicalRunTime
 }
 
+// typicalBytes returns the typical size of a route's calls, a moving average.
+func (c *Chooser) typicalBytes(route string) float64 {
+	if p := c.profile(route); p != nil {
+		return p.bytes
+	}
+	return initialCallBytes
+}
+
+// profile returns the profile of a route, or nil if none of its calls was answered.
+func (c *Chooser) profile(route string) *profile {
+	if c.profiles == nil {
+		return nil
+	}
+	return c.profiles.Get(route)
+}
+
 // utilization returns the calls running, waiting and sent since the last load report, relative to the number of slots.
 func (p *peer) utilization() float64 {
 	return float64(p.load.Running+p.load.Waiting+p.sentSinceReport) / float64(max(p.candidate.Slots, 1))
@@ -322,18 +348,19 @@
 }
 
 func (c *Chooser) recordRunTime(now time.Time, p *peer, o Answered) {
-	if c.typical == nil {
-		c.typical = kernel.NewLRU[string, float64](maxRoutes)
+	if c.profiles == nil {
+		c.profiles = kernel.NewLRU[string, profile](maxRoutes)
 	}
-	typical := c.typical.GetOrAdd(o.Route)
+	typical := c.profiles.GetOrAdd(o.Route)
 	runTime := max(o.RunTime.Seconds(), 1e-4)
-	if *typical == 0 {
-		*typical = runTime
+	if typical.seconds == 0 {
+		*typical = profile{seconds: runTime, bytes: float64(o.Bytes)}
 		return
 	}
-	ratio := min(maxRatio, max(minRatio, runTime / *typical))
+	ratio := min(maxRatio, max(minRatio, runTime/typical.seconds))
 	p.ratio = p.runTimeRatio(now)
 	p.ratio += (ratio - p.ratio) * ratioSmoothing
 	p.ratioAt = now
-	*typical += (min(runTime, maxRatio**typical) - *typical) * typicalSmoothing
+	typical.seconds += (min(runTime, maxRatio*typical.seconds) - typical.seconds) * typicalSmoothing
+	typical.bytes += (float64(o.Bytes) - typical.bytes) * typicalSmoothing
 }
--- a/dispatch/chooser_test.go
+++ b/dispatch/chooser_test.go
@@ -58,6 +58,7 @@
 // Guards against a call that waits longer at one backend server than a call to the second-best one would cost.
 func TestWaitIsBoundedByTheSecondBest(t *testing.T) {
 	c := newChooser()
+	c.RecordOutcome(start, "near", dispatch.Answered{Route: "read", RunTime: 50 * time.Millisecond, Bytes: 10 << 10})
 	c.RecordLoad(start, "near", fullLoad(2*time.Millisecond))
 	choice := choose(t, c, start, query)
 	require.Equal(t, "near", choice.Address)
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -145,7 +145,8 @@
 	switch a.Outcome {
 	case outcomeAnswered:
 		r.sent++
-		o = dispatch.Answered{Route: r.route.Name, RunTime: time.Duration(a.RanMicros) * time.Microsecond}
+		o = dispatch.Answered{Route: r.route.Name, RunTime: time.Duration(a.RanMicros) * time.Microsecond,
+			Bytes: len(r.head) + len(r.body) + len(a.Head) + len(a.Body)}
 	case outcomeCapped:
 		o = dispatch.Capped{Route: r.route.Name}
 	case outcomeUnusable:
