Run pipelined requests of a caller at the same time

Cause: fasthttp serves the requests of a connection one after the other. Change: package intake reads further requests, up to a setting, while earlier ones run, and sends the answers in order. A request that must run at most once waits until the earlier ones are answered, and does not run behind an answer that closes the connection. A stop closes a connection with the answer to the last request that was read. A connection's last answer is followed by a lingering close, so that bytes of the caller don't reset it. The reader notices a caller that leaves at once, which replaces the poll every 150 ms. Listeners survive failed accepts, which ended the process before.

--- /dev/null
+++ b/intake/server.go
@@ -0,0 +1,176 @@
+package intake
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lovagelane/kernel"
+)
+
+// Server serves connections of callers. Set its fields before Serve; all are required except those that say otherwise.
+type Server struct {
+	// Handler answers one request. It runs on a goroutine of its own.
+	Handler func(x *Exchange)
+	// Unreadable writes the answer to bytes that can't be read as a request.
+	Unreadable func(resp *fasthttp.Response, err error)
+	// Group runs the goroutines of connections and requests.
+	Group *kernel.Group
+	// MaxConnections limits the open connections. A connection beyond it is answered with status 503 and closed.
+	MaxConnections int
+	// MaxPipelined limits the unanswered requests of a connection. Further ones are not read until an answer is sent.
+	MaxPipelined int
+	// MaxHeaderBytes and MaxBodyBytes limit the headers and the body of a request.
+	MaxHeaderBytes, MaxBodyBytes int
+	// ReadTimeout limits the time from the first byte of a request to its last one, and IdleTimeout the time without any byte
+	// while no request is unanswered.
+	ReadTimeout, IdleTimeout time.Duration
+
+	draining atomic.Bool
+	mu       sync.Mutex
+	closed   bool
+	ln       net.Listener
+	conns    map[*conn]struct{}
+}
+
+// Exchange is one request and its answer.
+type Exchange struct {
+	Request  *fasthttp.Request
+	Response *fasthttp.Response
+	// Gone is closed when the caller has closed the connection.
+	Gone <-chan struct{}
+
+	conn *conn
+	// previousSent is closed when the answer to the previous request of the connection was sent, or nil for the first one.
+	previousSent <-chan struct{}
+	// sent is closed when the answer to this request was sent or dropped.
+	sent chan struct{}
+	// lastOnConnection is set when the request or its answer closes the connection.
+	lastOnConnection bool
+}
+
+// AwaitTurn waits until all earlier requests of the connection are answered. It reports false if the connection was closed
+// before, by the caller or by the answer to an earlier request; the caller then takes this request as not read, so that it
+// must not run. A handler calls it before it runs a request that must run at most once.
+func (x *Exchange) AwaitTurn() bool {
+	if x.previousSent != nil {
+		<-x.previousSent
+	}
+	return !x.conn.isClosing()
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	s.mu.Lock()
+	s.ln = ln
+	s.conns = map[*conn]struct{}{}
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return ln.Close()
+	}
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			s.mu.Lock()
+			closed := s.closed
+			s.mu.Unlock()
+			if closed {
+				return nil
+			}
+			return err
+		}
+		s.accept(c)
+	}
+}
+
+func (s *Server) accept(c net.Conn) {
+	k := newConn(s, c)
+	s.mu.Lock()
+	full := len(s.conns) >= s.MaxConnections
+	refused := s.closed || full
+	if !refused {
+		s.conns[k] = struct{}{}
+	}
+	s.mu.Unlock()
+	if refused {
+		if full {
+			refuseConnection(c)
+		}
+		_ = c.Close()
+		return
+	}
+	s.Group.Go("caller", func(context.Context) error {
+		k.serve()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, k)
+		return nil
+	})
+}
+
+// tooManyConnections is the answer on a connection beyond MaxConnections.
+const tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+func refuseConnection(c net.Conn) {
+	if err := c.SetWriteDeadline(time.Now().Add(lingerTime)); err == nil {
+		_, _ = c.Write([]byte(tooManyConnections)) // The caller sees the connection close in any case.
+	}
+}
+
+// Drain makes each connection close with the answer to the last request that was read from it.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Shutdown closes the listener and idle connections, and waits until the other connections have ended or ctx is done. It then
+// closes the rest.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.Drain()
+	s.mu.Lock()
+	s.closed = true
+	ln := s.ln
+	s.mu.Unlock()
+	if ln != nil {
+		_ = ln.Close() // It may have been closed before.
+	}
+	poll := time.NewTicker(shutdownPollInterval)
+	defer poll.Stop()
+	for s.closeIdle() > 0 {
+		select {
+		case <-ctx.Done():
+			s.closeAll()
+			return
+		case <-poll.C:
+		}
+	}
+}
+
+// closeIdle closes the connections without unanswered requests and returns the number of the others.
+func (s *Server) closeIdle() int {
+	busy := 0
+	for _, k := range s.open() {
+		if !k.closeIfIdle() {
+			busy++
+		}
+	}
+	return busy
+}
+
+func (s *Server) closeAll() {
+	for _, k := range s.open() {
+		_ = k.c.Close()
+	}
+}
+
+func (s *Server) open() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*conn, 0, len(s.conns))
+	for k := range s.conns {
+		list = append(list, k)
+	}
+	return list
+}
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/call"
+	"lovagelane/intake"
 	"lovagelane/kernel"
 	"lovagelane/routing"
 )
@@ -83,29 +84,27 @@
 func (failedResult) result()  {}
 
 // handleCaller handles requests of callers and outgoing requests of the own backend server.
-func (n *Node) handleCaller(ctx *fasthttp.RequestCtx) {
+func (n *Node) handleCaller(x *intake.Exchange) {
 	n.activeRequests.Add(1)
 	defer n.activeRequests.Add(-1)
-	if n.stopping.Load() {
-		ctx.SetConnectionClose()
-	}
-	r, res := n.matchRequest(ctx)
+	r, res := n.matchRequest(x.Request)
 	if cutoff := n.requestCutoff.Load(); res == nil && cutoff != nil && r.deadline.After(*cutoff) {
 		res = refusedResult{reason: "stopping", retryAfter: notReadyRetryAfter}
 	}
+	if res == nil && !r.route.Idempotent && !x.AwaitTurn() {
+		return
+	}
 	if res == nil {
-		callerGone, stop := n.callerWatch.Add(ctx.Conn())
-		r.callerGone = callerGone
+		r.callerGone = x.Gone
 		res = n.forward(r)
-		stop()
 	}
-	n.writeResult(ctx, r, res)
+	n.writeResult(x, r, res)
 }
 
 // matchRequest validates a request and matches it to a route. It returns a result if the request cannot be forwarded.
-func (n *Node) matchRequest(ctx *fasthttp.RequestCtx) (*request, result) {
+func (n *Node) matchRequest(req *fasthttp.Request) (*request, result) {
 	now := n.clock.Now()
-	h := &ctx.Request.Header
+	h := &req.Header
 	meta := n.deployment.ReadRequest(h)
 	r := &request{id: meta.ID, arrived: now}
 	cfg := n.config.Load()
@@ -121,7 +120,7 @@
 		return r, unroutableResult{status: fasthttp.StatusNotFound, reason: "no-route"}
 	}
 	r.route = route
-	r.body = ctx.Request.Body()
+	r.body = req.Body()
 	if limit := cfg.Limits().BodyBytes; limit > 0 && int64(len(r.body)) > limit {
 		return r, unroutableResult{status: fasthttp.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
@@ -171,41 +170,46 @@
 func (unroutableResult) result() {}
 
 // writeResult writes the response to the caller, and logs and counts every failure.
-func (n *Node) writeResult(ctx *fasthttp.RequestCtx, r *request, res result) {
+func (n *Node) writeResult(x *intake.Exchange, r *request, res result) {
 	switch res := res.(type) {
 	case servedResult:
-		n.writeAnswer(ctx, r, res.answer)
+		n.writeAnswer(x, r, res.answer)
 	case refusedResult:
 		retryAfter := max(res.retryAfter, minRetryAfter)
-		ctx.Error(res.reason, fasthttp.StatusServiceUnavailable)
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		writeError(x.Response, fasthttp.StatusServiceUnavailable, res.reason)
+		x.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 		n.logOutcome("request-refused", r, fasthttp.StatusServiceUnavailable, res.reason, "retry-after", retryAfter)
 	case failedResult:
 		status := fasthttp.StatusBadGateway
 		if res.timeout {
 			status = fasthttp.StatusGatewayTimeout
 		}
-		ctx.Error(res.reason, status)
+		writeError(x.Response, status, res.reason)
 		n.logOutcome("request-failed", r, status, res.reason)
 	case unroutableResult:
-		ctx.Error(res.reason, res.status)
-		n.logOutcome("request-not-routed", r, res.status, res.reason, "host", string(ctx.Host()), "path", string(ctx.Path()))
+		writeError(x.Response, res.status, res.reason)
+		n.logOutcome("request-not-routed", r, res.status, res.reason, "host", string(x.Request.Header.Host()),
+			"path", string(x.Request.Header.RequestURI()))
 	}
 }
 
-func (n *Node) writeAnswer(ctx *fasthttp.RequestCtx, r *request, a answerMessage) {
+// writeError writes an answer of the node itself.
+func writeError(resp *fasthttp.Response, status int, text string) {
+	resp.Reset()
+	resp.SetStatusCode(status)
+	resp.Header.SetContentType("text/plain; charset=utf-8")
+	resp.SetBodyString(text)
+}
+
+func (n *Node) writeAnswer(x *intake.Exchange, r *request, a answerMessage) {
 	h, err := parseAnswerHead(a.Head)
 	if err != nil {
-		n.writeResult(ctx, r, failedResult{reason: "answer-unreadable"})
+		n.writeResult(x, r, failedResult{reason: "answer-unreadable"})
 		return
 	}
-	closing := ctx.Response.ConnectionClose()
-	h.CopyTo(&ctx.Response.Header)
-	ctx.Response.Header.ResetConnectionClose()
-	if closing {
-		ctx.Response.Header.SetConnectionClose()
-	}
-	ctx.Response.SetBodyRaw(a.Body)
+	h.CopyTo(&x.Response.Header)
+	x.Response.Header.ResetConnectionClose()
+	x.Response.SetBodyRaw(a.Body)
 	n.metrics.Add("served", 1, r.route.Name, strconv.Itoa(a.Status))
 	n.metrics.Observe("request", n.clock.Now().Sub(r.arrived), r.route.Name)
 	if a.Status >= fasthttp.StatusInternalServerError {
@@ -229,8 +233,8 @@
 	n.log.Info(event, append(fields, pairs...)...)
 }
 
-// handleReadError responds to input that cannot be parsed as a request.
-func (n *Node) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+// handleUnreadable answers input of callers that cannot be parsed as a request.
+func (n *Node) handleUnreadable(resp *fasthttp.Response, err error) {
 	status := fasthttp.StatusBadRequest
 	var timeout net.Error
 	var smallBuffer *fasthttp.ErrSmallBuffer
@@ -243,5 +247,5 @@
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	}
 	n.metrics.Add("unreadable-requests", 1, strconv.Itoa(status))
-	ctx.Error(err.Error(), status)
+	writeError(resp, status, err.Error())
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -16,9 +17,9 @@
 
 	"lovagelane/balance"
 	"lovagelane/directory"
-	"lovagelane/disconnect"
 	"lovagelane/dispatch"
 	"lovagelane/event"
+	"lovagelane/intake"
 	"lovagelane/kernel"
 	"lovagelane/link"
 	"lovagelane/quarantine"
@@ -29,10 +30,8 @@
 )
 
 const (
-	// tickInterval is the period of the loop that expires queued calls, checks callers' connections and closes idle ones.
+	// tickInterval is the period of the loop that expires queued calls and closes idle connections.
 	tickInterval = 50 * time.Millisecond
-	// disconnectCheckTicks is the number of ticks between two checks for callers that closed their connection.
-	disconnectCheckTicks = 3
 	// idleTrimTicks is the number of ticks between two passes that close expired connections to the own backend server.
 	idleTrimTicks = 20
 	// maxBodyBytes limits the body of a request or an answer. Bodies are buffered in memory so that a call can be sent to
@@ -42,8 +41,12 @@
 	maxHeaderBytes = 20 << 10
 	// maxCallerConnections limits the connections of callers.
 	maxCallerConnections = 2048
+	// maxLocalBodyBytes limits the body of an announcement.
+	maxLocalBodyBytes = 64 << 10
 	// maxLocalConnections limits the connections of each of the announcement, readiness and admin listeners.
 	maxLocalConnections = 64
+	// defaultPipelined is the number of unanswered requests of one connection if the settings state none.
+	defaultPipelined = 16
 	// requestReadTimeout is how long a caller may take to send a request.
 	requestReadTimeout = 30 * time.Second
 	// callerIdleTimeout is how long a caller's connection may be idle. It exceeds the idle timeout of callers, so that the
@@ -82,22 +85,22 @@
 
 // Node is a running sidecar node beside one backend server.
 type Node struct {
-	settings    settings.Mesh
-	clock       kernel.Clock
-	log         *event.Log
-	metrics     *event.Metrics
-	rand        *kernel.Rand
-	deployment  Deployment
-	store       Store
-	group       *kernel.Group
-	pool        *kernel.Pool
-	transport   *link.Transport
-	backend     *backend
-	callerWatch disconnect.Watcher
-	servers     []*fasthttp.Server
-	listeners   []net.Listener
-	config      atomic.Pointer[routing.Config]
-	stopping    atomic.Bool
+	settings   settings.Mesh
+	clock      kernel.Clock
+	log        *event.Log
+	metrics    *event.Metrics
+	rand       *kernel.Rand
+	deployment Deployment
+	store      Store
+	group      *kernel.Group
+	pool       *kernel.Pool
+	transport  *link.Transport
+	backend    *backend
+	callers    *intake.Server
+	servers    []*fasthttp.Server
+	listeners  []net.Listener
+	config     atomic.Pointer[routing.Config]
+	stopping   atomic.Bool
 	// requestCutoff is set in the last phase of Stop: requests with a later deadline are refused.
 	requestCutoff atomic.Pointer[time.Time]
 	// callCutoff is set in the first phase of Stop: calls of other nodes are accepted only with an earlier deadline.
@@ -180,6 +183,9 @@
 	n.backend = newBackend(n, o.Settings.BackendServer)
 	n.group = kernel.NewGroup(ctx)
 	n.pool = kernel.NewPool(maxWorkers, maxQueuedRuns)
+	n.callers = &intake.Server{Handler: n.handleCaller, Unreadable: n.handleUnreadable, Group: n.group,
+		MaxConnections: maxCallerConnections, MaxPipelined: cmp.Or(o.Settings.PipelinedRequests, defaultPipelined),
+		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout}
 	n.transport = &link.Transport{Clock: n.clock, Log: n.log, Handler: n, Incarnation: random}
 	n.recovery.started = n.clock.Now()
 	return n, nil
@@ -197,47 +203,62 @@
 		return err
 	}
 	n.transport.Start(n.group, calls)
+	callers, err := n.listenAt("callers", n.settings.CallersListen)
+	if err != nil {
+		return err
+	}
+	n.group.Go("callers", func(context.Context) error { return n.callers.Serve(callers) })
 	for _, l := range []struct {
 		name, address string
 		handler       fasthttp.RequestHandler
-		connections   int
 	}{
-		{"announcements", n.settings.AnnounceListen, n.handleAnnouncement, maxLocalConnections},
-		{"ready", n.settings.ReadyListen, n.handleReady, maxLocalConnections},
-		{"callers", n.settings.CallersListen, n.handleCaller, maxCallerConnections},
-		{"admin", n.settings.AdminListen, n.handleAdmin, maxLocalConnections},
+		{"announcements", n.settings.AnnounceListen, n.handleAnnouncement},
+		{"ready", n.settings.ReadyListen, n.handleReady},
+		{"admin", n.settings.AdminListen, n.handleAdmin},
 	} {
 		if l.address == "" {
 			continue
 		}
-		ln, err := net.Listen("tcp", l.address)
+		ln, err := n.listenAt(l.name, l.address)
 		if err != nil {
 			return err
 		}
-		n.serve(l.name, ln, l.handler, l.connections)
+		n.serve(l.name, ln, l.handler)
 	}
 	return nil
 }
 
+// listenAt opens a listener that survives failed accepts.
+func (n *Node) listenAt(name, address string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	n.listeners = append(n.listeners, ln)
+	return &kernel.RetryListener{Listener: ln, OnError: func(err error) {
+		n.metrics.Add("accept-failures", 1, name)
+		n.log.Warn("accept-failed", "listener", name, "error", err)
+	}}, nil
+}
+
 // serve runs an HTTP server on a listener until the node stops.
-func (n *Node) serve(name string, ln net.Listener, handler fasthttp.RequestHandler, connections int) {
+func (n *Node) serve(name string, ln net.Listener, handler fasthttp.RequestHandler) {
 	server := &fasthttp.Server{
-		Handler: handler, Name: "lovagelane", Concurrency: connections, MaxRequestBodySize: maxBodyBytes,
+		Handler: handler, Name: "lovagelane", Concurrency: maxLocalConnections, MaxRequestBodySize: maxLocalBodyBytes,
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout, NoDefaultDate: true,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
-		ReduceMemoryUsage: true, Logger: discardLogger{}, ErrorHandler: n.handleReadError,
+		ReduceMemoryUsage: true, Logger: discardLogger{},
 	}
-	n.servers, n.listeners = append(n.servers, server), append(n.listeners, ln)
+	n.servers = append(n.servers, server)
 	n.group.Go(name, func(context.Context) error { return server.Serve(ln) })
 }
 
-// discardLogger discards errors of single connections, with which any caller could flood the log. handleReadError counts
-// them.
+// discardLogger discards errors of single connections, with which any client could flood the log.
 type discardLogger struct{}
 
 func (discardLogger) Printf(string, ...any) {}
 
-// runTicks periodically expires queued calls, detects disconnected callers and closes idle backend connections.
+// runTicks periodically expires queued calls and closes idle backend connections.
 func (n *Node) runTicks(ctx context.Context) error {
 	timer := time.NewTicker(tickInterval)
 	defer timer.Stop()
@@ -248,9 +269,6 @@
 		case <-timer.C:
 		}
 		n.expireQueued()
-		if count%disconnectCheckTicks == 0 {
-			n.callerWatch.Check()
-		}
 		if count%idleTrimTicks == 0 {
 			n.backend.closeExpired(n.clock.Now())
 		}
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -34,6 +34,7 @@
 		return nil
 	}
 	n.callCutoff.Store(&cutoff)
+	n.callers.Drain()
 	n.log.Info("node-stopping", "requests", n.activeRequests.Load(), "grace", grace)
 	n.mu.Lock()
 	_, state := n.tracker.Current()
@@ -64,6 +65,7 @@
 func (n *Node) closeServers(grace time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
+	n.callers.Shutdown(ctx)
 	for _, s := range n.servers {
 		_ = s.ShutdownWithContext(ctx) // Connections that are still open are closed with the process.
 	}
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -16,6 +16,7 @@
 	maxRepeatsAllowed = 1 << 20
 	maxGrace          = 10 * time.Minute
 	maxRepeatWindow   = 10 * time.Minute
+	maxPipelined      = 1 << 10
 )
 
 var meshKinds = []inifile.Kind{
@@ -23,7 +24,8 @@
 		Name: "mesh",
 		Required: []string{"deployment", "service", "availability-zone", "region", "backend-server", "callers-listen", "ready-listen",
 			"announce-listen", "calls-listen", "store"},
-		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window"},
+		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window",
+			"pipelined-requests"},
 	},
 }
 
@@ -60,6 +62,8 @@
 	RepeatRatio    float64
 	RepeatsAllowed int
 	RepeatWindow   time.Duration
+	// PipelinedRequests is the maximum number of unanswered requests of one connection of a caller; 0 means that it is not set.
+	PipelinedRequests int
 }
 
 // String returns all settings on one line, with field names.
@@ -116,6 +120,8 @@
 		RepeatRatio:      r.ratio(s, "repeat-ratio"),
 		RepeatsAllowed:   r.Int(s, "repeats-allowed", 0, maxRepeatsAllowed),
 		RepeatWindow:     r.Duration(s, "repeat-window", maxRepeatWindow),
+
+		PipelinedRequests: r.Int(s, "pipelined-requests", 1, maxPipelined),
 	}
 	if m.CallsAddress == "" {
 		m.CallsAddress = m.CallsListen
