Bound odd rows, silent nodes, late answers and endless answers on the operators' platform

Rows are decoded one by one; an odd one is skipped, counted and logged once, and what was known at its key holds. Addresses need a port from 1 to 65535. Silence is now told apart from a refused connection: an order waits for its answer until its deadline, an idempotent call is repeated elsewhere if the budget allows it.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"hash/fnv"
 	"maps"
+	"net"
 	"slices"
+	"strconv"
 )
 
 // State is the availability of a backend server for calls.
@@ -60,14 +62,24 @@
 	Backend          Incarnation `cbor:"7,keyasint"`
 }
 
-// Valid reports whether all fields are within their bounds.
+// Valid reports whether all fields are within their bounds and the address can be dialed.
 func (n Node) Valid() bool {
 	for _, text := range []string{n.Service, n.Region, n.AvailabilityZone, n.Backend.ID} {
 		if len(text) > maxTextBytes {
 			return false
 		}
 	}
-	return n.Address != "" && len(n.Address) <= maxTextBytes && n.Slots >= 0 && n.Slots <= maxSlots && n.State <= Leaving
+	return isDialable(n.Address) && n.Slots >= 0 && n.Slots <= maxSlots && n.State <= Leaving
+}
+
+// isDialable reports whether an address consists of a host and a port.
+func isDialable(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" || len(address) > maxTextBytes {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
 }
 
 // Entry is a node as recorded in a row of the store.
@@ -109,9 +121,13 @@
 	return true
 }
 
-// Replace merges a complete list of rows as of a version. Entries up to that version that the list lacks become tombstones.
-func (d *Directory) Replace(list []Entry, version uint64) {
-	listed := make(map[string]bool, len(list))
+// Replace merges a complete list of rows as of a version. Entries up to that version that the list lacks become tombstones,
+// except those of the kept addresses, whose rows can't be read.
+func (d *Directory) Replace(list []Entry, kept []string, version uint64) {
+	listed := make(map[string]bool, len(list)+len(kept))
+	for _, address := range kept {
+		listed[address] = true
+	}
 	for _, e := range list {
 		listed[e.Node.Address] = true
 		d.Merge(e)
@@ -153,6 +169,9 @@
 	return e, ok
 }
 
+// AdvanceVersion records that another node, which has merged all rows up to a version, sent those that this one lacked.
+func (d *Directory) AdvanceVersion(version uint64) { d.version = max(d.version, version) }
+
 // Version returns the highest store version that the directory has merged.
 func (d *Directory) Version() uint64 { return d.version }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,7 +12,7 @@
 )
 
 func entry(address string, version uint64, service string) directory.Entry {
-	return directory.Entry{Version: version, Node: directory.Node{Address: address, Service: service, Region: "rn", State: directory.Serving}}
+	return directory.Entry{Version: version, Node: directory.Node{Address: address + ":1", Service: service, Region: "rn", State: directory.Serving}}
 }
 
 // Guards against an old row that replaces a newer one when rows arrive out of order from several sources.
@@ -43,12 +44,12 @@
 	d.Merge(entry("a", 3, "maps"))
 	d.Merge(entry("b", 4, "maps"))
 	d.Merge(entry("c", 9, "maps"))
-	d.Replace([]directory.Entry{entry("a", 3, "maps")}, 7)
+	d.Replace([]directory.Entry{entry("a", 3, "maps")}, nil, 7)
 	var remaining []string
 	for _, n := range d.Nodes() {
 		remaining = append(remaining, n.Address)
 	}
-	require.Equal(t, []string{"a", "c"}, remaining, "c was written after the list was read")
+	require.Equal(t, []string{"a:1", "c:1"}, remaining, "c was written after the list was read")
 	require.False(t, d.Merge(entry("b", 5, "maps")), "a row from before the list came back")
 }
 
@@ -68,18 +69,38 @@
 // Guards against malformed rows of another writer that are accepted as nodes.
 func TestMergeRejectsInvalidNodes(t *testing.T) {
 	var d directory.Directory
-	for _, n := range []directory.Node{{}, {Address: "a", Slots: -1}, {Address: "a", State: 9}, {Address: "a", Service: string(make([]byte, 300))}} {
+	for _, n := range []directory.Node{{}, {Address: "a:1", Slots: -1}, {Address: "a:1", State: 9}, {Address: "a:1", Service: string(make([]byte, 300))}} {
 		require.False(t, d.Merge(directory.Entry{Node: n, Version: 1}), "%+v", n)
 	}
 	require.Empty(t, d.Nodes())
 }
 
+// Guards against an address of another writer that no connection can be opened to.
+func TestMergeRejectsAddressesThatCannotBeDialed(t *testing.T) {
+	var d directory.Directory
+	for _, address := range []string{"", "10.0.0.1", "10.0.0.1:", ":80", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:65536",
+		"10.0.0.1:99999999999999999999", "10.0.0.1:http", "10.0.0.1:80:80", strings.Repeat("a", 1<<20) + ":80"} {
+		require.False(t, d.Merge(directory.Entry{Node: directory.Node{Address: address}, Version: 1}), "%.40s", address)
+	}
+	require.True(t, d.Merge(directory.Entry{Node: directory.Node{Address: "[::1]:65535"}, Version: 1}))
+}
+
+// Guards against a known node that is dropped because another writer left a row at its address that can't be read.
+func TestReplaceKeepsNodesWithUnreadableRows(t *testing.T) {
+	var d directory.Directory
+	d.Merge(entry("a", 3, "maps"))
+	d.Merge(entry("b", 4, "maps"))
+	d.Replace(nil, []string{"a:1"}, 7)
+	require.Len(t, d.Nodes(), 1)
+	require.Equal(t, "a:1", d.Nodes()[0].Address)
+}
+
 // Guards against nodes that no other node keeps a connection to: they would get no updates while the store is unavailable.
 func TestEveryNodeIsANeighbour(t *testing.T) {
 	var d directory.Directory
 	regions := []string{"rn", "ce"}
 	for i := range 40 {
-		e := entry(fmt.Sprintf("10.0.0.%d:1", i), uint64(i+1), "maps")
+		e := entry(fmt.Sprintf("10.0.0.%d", i), uint64(i+1), "maps")
 		e.Node.Region = regions[i%2]
 		d.Merge(e)
 	}
--- a/link/peer.go
+++ b/link/peer.go
@@ -23,7 +23,7 @@
 	// minRedialBackoff and maxRedialBackoff bound the backoff between connection attempts.
 	minRedialBackoff = 100 * time.Millisecond
 	maxRedialBackoff = 2 * time.Second
-	// unreachableTimeout is how long connection attempts must fail before sent calls are reported as lost.
+	// unreachableTimeout is how long connection attempts must fail before sent calls are reported as stalled.
 	unreachableTimeout = time.Second
 )
 
@@ -45,7 +45,10 @@
 // Pending is a call in flight.
 type Pending struct {
 	// Done receives the result of the call.
-	Done    chan Result
+	Done chan Result
+	// Stalled is closed when the receiver can't be reached and the call may be running there. A result may still arrive.
+	Stalled chan struct{}
+	stalled bool
 	peer    *Peer
 	number  uint64
 	payload []byte
@@ -80,7 +83,7 @@
 
 // Call sends a call and returns at once. The result arrives on Done unless the call is cancelled.
 func (p *Peer) Call(payload []byte) *Pending {
-	c := &Pending{Done: make(chan Result, 1), peer: p, payload: payload}
+	c := &Pending{Done: make(chan Result, 1), Stalled: make(chan struct{}), peer: p, payload: payload}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastNumber++
@@ -179,8 +182,9 @@
 	p.connected(k, incarnation)
 }
 
-// dialFailed reports unsent calls as lost. Sent calls stay pending until unreachableTimeout, since the network path may
-// recover, unless the connection was refused.
+// dialFailed reports unsent calls as lost, and sent ones too if the connection was refused, since the receiver's process has
+// then ended. Otherwise the receiver may be frozen or cut off, so that sent calls stay pending and are reported as stalled after
+// unreachableTimeout.
 func (p *Peer) dialFailed(err error) {
 	refused := errors.Is(err, ErrRefused)
 	p.mu.Lock()
@@ -192,13 +196,16 @@
 	p.failures++
 	p.lastFailure = p.t.uptime()
 	p.redialAt = p.t.uptime() + min(maxRedialBackoff, minRedialBackoff<<min(p.failures, 10))
-	giveUp := refused || p.t.uptime()-p.firstFailure >= unreachableTimeout
+	unreachable := p.t.uptime()-p.firstFailure >= unreachableTimeout
 	for number, c := range p.pending {
 		switch {
 		case !c.sent:
 			p.completeLocked(number, Lost{})
-		case giveUp:
+		case refused:
 			p.completeLocked(number, Lost{Sent: true})
+		case unreachable && !c.stalled:
+			c.stalled = true
+			close(c.Stalled)
 		}
 	}
 }
--- a/link/session.go
+++ b/link/session.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// orphanTimeout is how long the calls of a disconnected sender keep running before they are cancelled.
+	// orphanTimeout is how long the calls of a disconnected sender keep running before they are cancelled, except those that
+	// KeepRunning was called for.
 	orphanTimeout = 3 * time.Second
 	// sessionTTL is how long the session of a disconnected sender is stored, so that its calls are not run again. It is
 	// longer than any sender tries to reconnect while it has pending calls.
@@ -26,11 +27,13 @@
 	number  uint64
 	// The other fields are guarded by session.mu. The answer goes out on the connection on which the call arrived last: if a
 	// sender has two connections, the one that was accepted later is not always the live one.
-	conn      *conn
-	cancelled bool
-	onCancel  func()
-	done      bool
-	answer    []byte
+	conn *conn
+	// keepRunning is set by KeepRunning.
+	keepRunning bool
+	cancelled   bool
+	onCancel    func()
+	done        bool
+	answer      []byte
 }
 
 // session holds the calls of one incarnation of a sender.
@@ -158,6 +161,14 @@
 	return f
 }
 
+// KeepRunning keeps the call from being cancelled because its sender is silent. It is meant for calls that can't be repeated:
+// the sender may come back for the answer.
+func (c *IncomingCall) KeepRunning() {
+	c.session.mu.Lock()
+	defer c.session.mu.Unlock()
+	c.keepRunning = true
+}
+
 // OnCancel registers f to be called once when the call is cancelled, or calls it at once if that has already happened.
 func (c *IncomingCall) OnCancel(f func()) {
 	c.session.mu.Lock()
@@ -222,7 +233,9 @@
 	var cancels []func()
 	if disconnected > orphanTimeout {
 		for _, c := range s.calls {
-			cancels = append(cancels, c.cancelLocked())
+			if !c.keepRunning {
+				cancels = append(cancels, c.cancelLocked())
+			}
 		}
 	}
 	s.mu.Unlock()
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -25,7 +25,11 @@
 // handleAnnouncement handles announcements of the own backend server. A departure is acknowledged only once it is recorded
 // in the store or at another node, so that this node still honours it after a restart.
 func (n *Node) handleAnnouncement(ctx *fasthttp.RequestCtx) {
-	a, err := n.deployment.ReadAnnouncement(ctx)
+	var a Announcement
+	err := kernel.Protect(func() (err error) {
+		a, err = n.deployment.ReadAnnouncement(ctx)
+		return err
+	})
 	if err != nil {
 		n.metrics.Add("announcements-malformed", 1)
 		n.log.Warn("announcement-malformed", "error", err)
@@ -159,6 +163,7 @@
 	}
 	n.mu.Lock()
 	n.recovery.recordedDeparture = b
+	delete(n.departureAcks, b)
 	n.mu.Unlock()
 	n.log.Info("leaving-recorded", "id", b.ID, "where", where)
 	return true
@@ -208,16 +213,24 @@
 			continue
 		}
 		n.log.Warn("node-not-written", "expected", expected, "error", err)
-		if errors.Is(err, ErrConflict) {
-			if err := n.readDirectory(ctx); err == nil {
-				continue
-			}
+		if errors.Is(err, ErrConflict) && n.readDirectory(ctx) == nil && n.ownRowVersion() != expected {
+			continue
 		}
 		sleep(ctx, n.rand.Jitter(writeRetryDelay, 0.5))
 	}
 	return false
 }
 
+// ownRowVersion returns the known version of the row of this node, or 0 if there is none.
+func (n *Node) ownRowVersion() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if entry, known := n.directory.Entry(n.settings.CallsAddress); known && !entry.Removed {
+		return entry.Version
+	}
+	return 0
+}
+
 // removeUnreachable removes the rows of nodes of the own region that have been unreachable for at least the given time: they
 // are assumed to have stopped without deregistering. A node that still runs writes its row again when it sees that it was
 // removed. Nodes of other regions are not removed here, since a partition between regions may last long.
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -2,18 +2,20 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 
 	"lovagelane/directory"
 	"lovagelane/disconnect"
+	"lovagelane/kernel"
 	"lovagelane/link"
 )
 
@@ -27,6 +29,14 @@
 	// nonIdempotentIdleTimeout is how long a connection may be idle before a non-idempotent call uses it. If the backend
 	// server has closed the connection meanwhile, the node cannot tell whether the call has run, and must not resend it.
 	nonIdempotentIdleTimeout = 500 * time.Millisecond
+	// freeBodyBytes is the size up to which the body of an answer takes nothing from the memory budget of bodies.
+	freeBodyBytes = 64 << 10
+	// initialBodyBytes is the first size of the buffer for a body whose length is not known.
+	initialBodyBytes = 4 << 10
+	// bodyMemoryShare is the share of the memory limit that bodies of answers may take, and defaultBodyMemory that memory without
+	// a limit. A body is held up to three times: as read, in the message to the calling node, and until that node confirms it.
+	bodyMemoryShare   = 8
+	defaultBodyMemory = 64 << 20
 	// maxStrayAnswers is the number of answers to other requests that are skipped during one exchange.
 	maxStrayAnswers = 2
 	// crashCheckDelay is the delay between a lost connection and the check whether the backend server has crashed.
@@ -37,6 +47,8 @@
 type backend struct {
 	n       *Node
 	address string
+	// bodyMemory is the memory budget of the bodies of answers.
+	bodyMemory *semaphore.Weighted
 
 	mu   sync.Mutex
 	idle []*backendConn
@@ -52,6 +64,14 @@
 	closeOnce   sync.Once
 }
 
+// answerError is a failure to read an answer.
+type answerError string
+
+// Error returns the reason of the failure, for logs and metrics.
+func (e answerError) Error() string { return string(e) }
+
+const errAnswerTooLarge = answerError("answer-too-large")
+
 func (k *backendConn) close() { k.closeOnce.Do(func() { _ = k.c.Close() }) }
 
 // exchangeResult is the result of a call at the backend server.
@@ -61,6 +81,8 @@
 	status  int
 	head    []byte
 	body    []byte
+	// reserved is what the body takes from the memory budget of bodies.
+	reserved int64
 	// connectionLost is set when the connection broke while the call may have been running.
 	connectionLost bool
 	// crashed is set when the backend server crashed during the call.
@@ -69,7 +91,13 @@
 	backendGone bool
 }
 
-func newBackend(n *Node, address string) *backend { return &backend{n: n, address: address} }
+func newBackend(n *Node, address string) *backend {
+	memory := int64(defaultBodyMemory)
+	if n.settings.MemoryMB > 0 {
+		memory = max(int64(n.settings.MemoryMB)<<20/bodyMemoryShare, maxBodyBytes+1)
+	}
+	return &backend{n: n, address: address, bodyMemory: semaphore.NewWeighted(memory)}
+}
 
 // acquire returns an idle connection that may be reused and was idle for less than maxIdle, or opens one. It reports whether
 // the connection is reused.
@@ -112,29 +140,35 @@
 }
 
 // closeIdle closes all idle connections.
-func (b *backend) closeIdle() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, k := range b.idle {
-		k.close()
-	}
-	b.idle = nil
-}
+func (b *backend) closeIdle() { closeAll(b.takeIdle(func(*backendConn) bool { return true })) }
 
 // closeExpired closes connections whose idle timeout has passed.
 func (b *backend) closeExpired(now time.Time) {
+	closeAll(b.takeIdle(func(k *backendConn) bool { return now.Sub(k.lastUsed) >= k.idleTimeout }))
+}
+
+// takeIdle removes and returns the idle connections that match.
+func (b *backend) takeIdle(match func(*backendConn) bool) []*backendConn {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var taken []*backendConn
 	kept := b.idle[:0]
 	for _, k := range b.idle {
-		if now.Sub(k.lastUsed) < k.idleTimeout {
-			kept = append(kept, k)
+		if match(k) {
+			taken = append(taken, k)
 		} else {
-			k.close()
+			kept = append(kept, k)
 		}
 	}
 	clear(b.idle[len(kept):])
 	b.idle = kept
+	return taken
+}
+
+func closeAll(conns []*backendConn) {
+	for _, k := range conns {
+		k.close()
+	}
 }
 
 // isClean reports whether an idle connection is open and has no unread bytes. Bytes after an answer belong to no request, so
@@ -159,14 +193,14 @@
 func (b *backend) exchange(j *job, id string, remaining time.Duration) exchangeResult {
 	h, err := parseRequestHead(j.m.Head)
 	if err != nil {
-		return exchangeResult{outcome: outcomeExpired, reason: "head-unreadable"}
+		return exchangeResult{outcome: outcomeUnreadable, reason: "head-unreadable"}
 	}
 	b.n.deployment.Prepare(h, ForwardMeta{Remaining: remaining, Backend: id, Caller: j.m.Caller})
 	maxIdle := defaultBackendIdleTimeout
 	if !j.m.Idempotent {
 		maxIdle = nonIdempotentIdleTimeout
 	}
-	k, reused, err := b.acquire(b.n.clock.Now(), max(maxIdle, nonIdempotentIdleTimeout))
+	k, reused, err := b.acquire(b.n.clock.Now(), maxIdle)
 	if err != nil {
 		return exchangeResult{outcome: outcomeUnusable, reason: "backend-server-unreachable",
 			backendGone: errors.Is(err, link.ErrRefused)}
@@ -175,7 +209,7 @@
 		k.close()
 		return exchangeResult{outcome: outcomeBusy, reason: "cancelled"}
 	}
-	x := b.roundTrip(j, k, h, remaining)
+	x := b.roundTrip(j, k, reused, h, remaining)
 	if x.connectionLost && reused {
 		x.reason += "-on-kept-connection"
 	}
@@ -191,7 +225,7 @@
 }
 
 // roundTrip writes a request and reads the answer with its request id.
-func (b *backend) roundTrip(j *job, k *backendConn, h *fasthttp.RequestHeader, remaining time.Duration) exchangeResult {
+func (b *backend) roundTrip(j *job, k *backendConn, reused bool, h *fasthttp.RequestHeader, remaining time.Duration) exchangeResult {
 	if err := k.c.SetDeadline(time.Now().Add(remaining + answerMargin)); err != nil {
 		k.close()
 		return exchangeResult{outcome: outcomeLost, reason: "connection-closed", connectionLost: true}
@@ -201,53 +235,146 @@
 	_, writeErr := k.c.Write(request)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	resp.SkipBody = h.IsHead()
+	resp.StreamBody, resp.SkipBody = true, h.IsHead()
 	for range maxStrayAnswers + 1 {
-		if err := resp.ReadLimitBody(k.r, maxBodyBytes); err != nil {
+		if err := kernel.Protect(func() error { return resp.ReadLimitBody(k.r, 0) }); err != nil {
 			k.close()
 			return readFailure(err)
 		}
 		meta := b.n.deployment.ReadAnswer(&resp.Header)
-		if meta.ID == j.m.RequestID || meta.ID == "" {
+		// Only on a new connection can an answer without an id be told from a late one to an earlier request.
+		if meta.ID == j.m.RequestID || meta.ID == "" && !reused {
 			if writeErr != nil {
 				resp.SetConnectionClose()
 			}
-			return b.classifyAnswer(j, k, resp, meta)
+			return b.readAnswer(j, k, resp, meta)
 		}
 		b.n.log.Warn("stray-answer", "request", j.m.RequestID, "answer-to", meta.ID)
+		b.n.metrics.Add("stray-answers", 1)
+		if err := discardBody(resp); err != nil {
+			k.close()
+			return readFailure(err)
+		}
 	}
 	k.close()
 	return exchangeResult{outcome: outcomeLost, reason: "stray-answers"}
 }
 
+// discardBody reads the body of an answer that is not used.
+func discardBody(resp *fasthttp.Response) error {
+	stream := resp.BodyStream()
+	if stream == nil {
+		return nil
+	}
+	_, err := io.CopyN(io.Discard, stream, maxBodyBytes+1)
+	if err == nil {
+		return errAnswerTooLarge
+	}
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	return resp.CloseBodyStream()
+}
+
+// readBody reads the body of an answer and returns it with what it takes from the memory budget. It waits for that memory at
+// most until the deadline. The memory follows what has arrived, not the length that the answer states.
+func (b *backend) readBody(resp *fasthttp.Response, deadline time.Time) (body []byte, reserved int64, err error) {
+	stream, length := resp.BodyStream(), resp.Header.ContentLength()
+	switch {
+	case stream == nil:
+		return nil, 0, nil
+	case length > maxBodyBytes:
+		return nil, 0, errAnswerTooLarge
+	case length < 0:
+		body = make([]byte, 0, initialBodyBytes)
+	default:
+		body = make([]byte, 0, min(length+1, freeBodyBytes))
+	}
+	for {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), maxBodyBytes+1)
+			if size > freeBodyBytes {
+				if err := b.reserve(int64(size)-reserved, deadline); err != nil {
+					return nil, reserved, err
+				}
+				reserved = int64(size)
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		count, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		switch {
+		case errors.Is(err, io.EOF):
+			resp.Header.SetContentLength(len(body))
+			return body, reserved, resp.CloseBodyStream()
+		case err != nil:
+			return nil, reserved, err
+		case len(body) > maxBodyBytes:
+			return nil, reserved, errAnswerTooLarge
+		}
+	}
+}
+
+// reserve takes memory for a body from the budget.
+func (b *backend) reserve(size int64, deadline time.Time) error {
+	if b.bodyMemory.TryAcquire(size) {
+		return nil
+	}
+	b.n.metrics.Add("body-memory-waits", 1)
+	ctx, cancel := context.WithDeadline(b.n.group.Context(), deadline)
+	defer cancel()
+	if err := b.bodyMemory.Acquire(ctx, size); err != nil {
+		return answerError("no-memory-for-answer")
+	}
+	return nil
+}
+
 func readFailure(err error) exchangeResult {
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	var reason answerError
+	switch {
+	case errors.As(err, &reason):
+		return exchangeResult{outcome: outcomeLost, reason: string(reason)}
+	case errors.As(err, &timeout) && timeout.Timeout():
 		return exchangeResult{outcome: outcomeLost, reason: "backend-server-timeout"}
 	}
 	return exchangeResult{outcome: outcomeLost, reason: "backend-server-broke-off", connectionLost: true}
 }
 
-// classifyAnswer converts an answer to an exchangeResult and releases the connection.
-func (b *backend) classifyAnswer(j *job, k *backendConn, resp *fasthttp.Response, meta AnswerMeta) exchangeResult {
-	b.release(k, resp, meta)
-	switch {
-	case meta.OtherBackend:
-		return exchangeResult{outcome: outcomeRejected, reason: "other-backend-server", status: resp.StatusCode(), backendGone: true}
-	case meta.NotRun:
-		return exchangeResult{outcome: outcomeRejected, reason: "backend-server", status: resp.StatusCode()}
-	case !meta.Signed || meta.ID == "":
+// readAnswer reads the rest of the answer to a call, converts it to an exchangeResult and releases the connection.
+func (b *backend) readAnswer(j *job, k *backendConn, resp *fasthttp.Response, meta AnswerMeta) exchangeResult {
+	rejected := meta.OtherBackend || meta.NotRun
+	if !rejected && (!meta.Signed || meta.ID == "") {
+		k.close()
 		b.n.log.Warn("answer-not-stamped", "request", j.m.RequestID, "status", resp.StatusCode(), "id", meta.ID)
 		return exchangeResult{outcome: outcomeLost, reason: "answer-not-stamped"}
 	}
-	return exchangeResult{outcome: outcomeAnswered, status: resp.StatusCode(), head: answerHead(&resp.Header),
-		body: bytes.Clone(resp.Body())}
+	if rejected {
+		if err := discardBody(resp); err != nil {
+			k.close()
+		} else {
+			b.release(k, resp, meta)
+		}
+		if meta.OtherBackend {
+			return exchangeResult{outcome: outcomeRejected, reason: "other-backend-server", status: resp.StatusCode(), backendGone: true}
+		}
+		return exchangeResult{outcome: outcomeRejected, reason: "backend-server", status: resp.StatusCode()}
+	}
+	body, reserved, err := b.readBody(resp, j.deadline.Add(answerMargin))
+	if err != nil {
+		k.close()
+		b.bodyMemory.Release(reserved)
+		return readFailure(err)
+	}
+	b.release(k, resp, meta)
+	return exchangeResult{outcome: outcomeAnswered, status: resp.StatusCode(), head: answerHead(&resp.Header), body: body,
+		reserved: reserved}
 }
 
-// release returns a connection to the idle ones. It closes it if the answer asks for that, if there are unread bytes, which
-// belong to no request, or if the answer is neither signed nor marked as not run.
+// release returns a connection to the idle ones. It closes it if the answer asks for that or if there are unread bytes, which
+// belong to no request.
 func (b *backend) release(k *backendConn, resp *fasthttp.Response, meta AnswerMeta) {
-	if resp.ConnectionClose() || k.r.Buffered() > 0 || !meta.Signed && !meta.NotRun {
+	if resp.ConnectionClose() || k.r.Buffered() > 0 {
 		k.close()
 		return
 	}
@@ -257,8 +384,9 @@
 	b.pushIdle(b.n.clock.Now(), k)
 }
 
-// checkCrash reports whether the backend server crashed during a call whose connection was lost: it is taken as crashed if it
-// can't be reached after crashCheckDelay. The calls in flight are then recorded as suspects.
+// checkCrash reports whether the backend server crashed during a call whose connection was lost: it is taken as crashed if
+// nothing listens at its address after crashCheckDelay. A connection that can't be opened for another reason, such as a full
+// queue of new connections, is no crash. After a crash, the calls in flight are recorded as suspects.
 func (n *Node) checkCrash(j *job, current directory.Incarnation, x exchangeResult) bool {
 	if j.isCancelled() || x.reason == "backend-server-timeout" {
 		return false
@@ -268,6 +396,8 @@
 	c, err := link.Dial(n.backend.address, backendDialTimeout)
 	if err == nil {
 		_ = c.Close()
+	}
+	if !errors.Is(err, link.ErrRefused) {
 		return false
 	}
 	n.handleBackendLoss(current, "refused")
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -18,6 +18,8 @@
 const (
 	// defaultTimeout is the timeout of a request that states no deadline, on a route without a timeout.
 	defaultTimeout = 30 * time.Second
+	// maxRequestTime limits the time that a caller may give a request.
+	maxRequestTime = time.Hour
 	// answerMargin is how long a node waits for an answer after the deadline: the backend server may work until the
 	// deadline, and its answer may cross regions.
 	answerMargin = 50 * time.Millisecond
@@ -126,7 +128,7 @@
 	}
 	remaining := defaultTimeout
 	if meta.Remaining > 0 {
-		remaining = meta.Remaining
+		remaining = min(meta.Remaining, maxRequestTime)
 	}
 	if route.Timeout > 0 {
 		remaining = min(remaining, route.Timeout)
--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -86,6 +86,8 @@
 	Value   []byte
 	Version uint64
 	Removed bool
+	// Err is set when the row can't be read; Key and Version are then set as far as they can be read.
+	Err error
 }
 
 // Write is a write of one row, conditional on the version of the row if Expect is set.
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"lovagelane/dispatch"
 	"lovagelane/link"
 )
@@ -65,6 +67,8 @@
 		r.excluded = r.excluded.With(choice.Address)
 	case outcomeExpired:
 		return r.refusal("deadline")
+	case outcomeUnreadable:
+		return unroutableResult{status: fasthttp.StatusBadRequest, reason: a.Reason}
 	case outcomeRejected:
 		r.excluded = r.excluded.With(choice.Address)
 		if !n.takeRepeat(r) {
@@ -73,7 +77,7 @@
 	case outcomeLost:
 		r.mayHaveRun = true
 		r.excluded = r.excluded.With(choice.Address)
-		if !r.route.Idempotent || a.Crashed || !n.takeRepeat(r) {
+		if !r.route.Idempotent || a.Crashed || !a.repeatTaken && !n.takeRepeat(r) {
 			return failedResult{reason: a.Reason}
 		}
 	}
@@ -180,16 +184,41 @@
 		return n.attemptLocal(m, r.callerGone, timer.C)
 	}
 	p := n.transport.Peer(choice.Address).Call(encode(m))
-	select {
-	case res := <-p.Done:
-		return n.decodeAnswer(res)
-	case <-r.callerGone:
-		p.Cancel()
-		return answerMessage{}, failedResult{reason: "caller-left"}
-	case <-timer.C:
-		p.Cancel()
-		return answerMessage{}, failedResult{reason: "timeout", timeout: true}
+	stalled := p.Stalled
+	for {
+		select {
+		case res := <-p.Done:
+			return n.decodeAnswer(res), nil
+		case <-stalled:
+			if n.giveUpStalled(r, choice.Address) {
+				p.Cancel()
+				return answerMessage{Outcome: outcomeLost, Reason: "node-silent", nodeUnreachable: true, repeatTaken: true}, nil
+			}
+			stalled = nil
+		case <-r.callerGone:
+			p.Cancel()
+			return answerMessage{}, failedResult{reason: "caller-left"}
+		case <-timer.C:
+			p.Cancel()
+			return answerMessage{}, failedResult{reason: "timeout", timeout: true}
+		}
+	}
+}
+
+// giveUpStalled reports whether a call to a node that can't be reached is repeated elsewhere. Otherwise the node may answer
+// yet: it may be frozen or cut off, and the call may be running there.
+func (n *Node) giveUpStalled(r *request, address string) bool {
+	n.mu.Lock()
+	n.chooser.RecordOutcome(n.clock.Now(), address, dispatch.Unusable{})
+	n.mu.Unlock()
+	n.log.Warn("call-stalled", "request", r.id, "route", r.route.Name, "node", address)
+	if !r.route.Idempotent {
+		return false
 	}
+	r.sent++
+	taken := n.takeRepeat(r)
+	r.sent--
+	return taken
 }
 
 // attemptLocal submits the call to the own backend server and waits for the answer.
@@ -209,19 +238,24 @@
 }
 
 // decodeAnswer converts the result of a call to another node to an answer.
-func (n *Node) decodeAnswer(res link.Result) (answerMessage, result) {
+func (n *Node) decodeAnswer(res link.Result) answerMessage {
 	switch res := res.(type) {
 	case link.Answer:
 		var a answerMessage
-		if err := decode(res.Payload, &a); err != nil {
+		err := decode(res.Payload, &a)
+		if err == nil && !a.valid() {
+			err = Err.New("outcome %d or another field is out of range: upgrade the older node", a.Outcome)
+		}
+		if err != nil {
+			n.metrics.Add("malformed-answers", 1)
 			n.log.Error("answer-malformed", "error", err)
-			return answerMessage{Outcome: outcomeLost, Reason: "answer-malformed"}, nil
+			return answerMessage{Outcome: outcomeLost, Reason: "answer-malformed"}
 		}
-		return a, nil
+		return a
 	case link.Lost:
 		if res.Sent {
-			return answerMessage{Outcome: outcomeLost, Reason: "node-lost", nodeUnreachable: true}, nil
+			return answerMessage{Outcome: outcomeLost, Reason: "node-lost", nodeUnreachable: true}
 		}
 	}
-	return answerMessage{Outcome: outcomeUnusable, Reason: "node-unreachable"}, nil
+	return answerMessage{Outcome: outcomeUnusable, Reason: "node-unreachable"}
 }
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -81,24 +81,29 @@
 	now := n.clock.Now()
 	n.mu.Lock()
 	ours := n.versionsLocked()
-	pull := behindLongerThan(&n.behindSince.config, now, grace, ours.ConfigVersion < theirs.ConfigVersion)
-	pull = behindLongerThan(&n.behindSince.directory, now, grace, ours.DirectoryVersion < theirs.DirectoryVersion) || pull
+	pull := n.configLag.exceeds(grace, now, ours.ConfigVersion, theirs.ConfigVersion)
+	pull = n.directoryLag.exceeds(grace, now, ours.DirectoryVersion, theirs.DirectoryVersion) || pull
 	n.mu.Unlock()
 	if pull {
 		reply(encode(gossipMessage{PullSince: &ours}))
 	}
 }
 
-// behindLongerThan records when the node was first behind, and reports whether the grace period has passed since. The time is
-// reset when newer data is applied.
-func behindLongerThan(since *time.Time, now time.Time, grace time.Duration, behind bool) bool {
-	if !behind {
+// lag records since when this node lacks a version that another node has.
+type lag struct {
+	version uint64
+	since   time.Time
+}
+
+// exceeds reports whether this node has lacked a version of another node for at least the grace period.
+func (l *lag) exceeds(grace time.Duration, now time.Time, ours, theirs uint64) bool {
+	if ours >= theirs {
 		return false
 	}
-	if since.IsZero() {
-		*since = now
+	if ours >= l.version {
+		l.version, l.since = theirs, now
 	}
-	return now.Sub(*since) >= grace
+	return now.Sub(l.since) >= grace
 }
 
 // HandleNotice implements link.Handler.
@@ -114,6 +119,11 @@
 	if len(m.Rows) > 0 {
 		n.mergeRows(m.Rows)
 	}
+	if m.DirectoryVersion > 0 {
+		n.mu.Lock()
+		n.directory.AdvanceVersion(m.DirectoryVersion)
+		n.mu.Unlock()
+	}
 	if len(m.Config) > 0 {
 		n.applyConfig(m.Config, "node")
 	}
@@ -151,7 +161,7 @@
 	n.mu.Lock()
 	var m gossipMessage
 	if n.directory.Version() > theirs.DirectoryVersion {
-		m.Rows = n.directory.Since(theirs.DirectoryVersion)
+		m.Rows, m.DirectoryVersion = n.directory.Since(theirs.DirectoryVersion), n.directory.Version()
 	}
 	if cfg := n.config.Load(); cfg != nil && cfg.Version() > theirs.ConfigVersion {
 		m.ConfigVersion, m.Config = cfg.Version(), n.configText
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"lovagelane/directory"
+	"lovagelane/kernel"
 	"lovagelane/quarantine"
 	"lovagelane/slots"
 )
@@ -48,11 +49,13 @@
 	// outcomeCapped means that the route has reached its concurrency cap at this node. The cap falls when services further
 	// down the call graph are overloaded. The call was not sent to the backend server.
 	outcomeCapped
+	// outcomeUnreadable means that the head of the call can't be parsed. The call was not sent to the backend server.
+	outcomeUnreadable
 )
 
 // String returns the name of the outcome in logs and metrics.
 func (o outcome) String() string {
-	return [...]string{"answered", "busy", "unusable", "rejected", "lost", "expired", "quarantined", "capped"}[o]
+	return [...]string{"answered", "busy", "unusable", "rejected", "lost", "expired", "quarantined", "capped", "unreadable"}[o]
 }
 
 // answerMessage is the reply to a callMessage.
@@ -71,8 +74,31 @@
 	Crashed bool `cbor:"9,keyasint,omitempty"`
 	// nodeUnreachable is set by the sending node when the connection to the other node was lost before its answer.
 	nodeUnreachable bool
+	// repeatTaken is set by the sending node when the repeat of a call without answer was taken from the retry budget.
+	repeatTaken bool
 }
 
+// maxMillis bounds the times in messages, so that they can't overflow.
+const maxMillis = int64(time.Hour / time.Millisecond)
+
+// valid reports whether the fields are within their bounds.
+func (m callMessage) valid() bool {
+	return inRange(m.RemainingMS, maxMillis) && inRange(m.WaitMS, maxMillis)
+}
+
+// valid reports whether the outcome is known and the other fields are within their bounds.
+func (a answerMessage) valid() bool {
+	l := a.Load
+	return a.Outcome <= outcomeUnreadable && inRange(a.RanMicros, 1000*maxMillis) && inRange(a.WaitedMicros, 1000*maxMillis) &&
+		inRange(l.WaitMS, maxMillis) && inRange(int64(l.Running), maxReportedCalls) && inRange(int64(l.Waiting), maxReportedCalls) &&
+		inRange(int64(l.Limit), maxReportedCalls)
+}
+
+// maxReportedCalls bounds the counts of calls in a load report.
+const maxReportedCalls = 1 << 20
+
+func inRange(v, limit int64) bool { return v >= 0 && v <= limit }
+
 // loadReport is the state of the queue of a backend server.
 type loadReport struct {
 	Running int   `cbor:"1,keyasint,omitempty"`
@@ -82,7 +108,7 @@
 }
 
 func newLoadReport(l slots.Load) loadReport {
-	return loadReport{Running: l.Running, Waiting: l.Waiting, Limit: l.Limit, WaitMS: l.Wait.Milliseconds()}
+	return loadReport{Running: l.Running, Waiting: l.Waiting, Limit: l.Limit, WaitMS: min(l.Wait.Milliseconds(), maxMillis)}
 }
 
 func (l loadReport) slots() slots.Load {
@@ -119,6 +145,8 @@
 	Crashes []quarantine.Report `cbor:"8,keyasint,omitempty"`
 	// Node is the current directory record of the sender, sent after a change.
 	Node *directory.Node `cbor:"9,keyasint,omitempty"`
+	// DirectoryVersion is the directory version of the sender, which Rows brings the receiver up to.
+	DirectoryVersion uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // departure records that the backend server beside a node is leaving: it takes no new calls, also after a restart of the
@@ -138,4 +166,6 @@
 }
 
 // decode parses a message of another node.
-func decode(b []byte, v any) error { return Err.Wrap(cbor.Unmarshal(b, v)) }
+func decode(b []byte, v any) error {
+	return Err.Wrap(kernel.Protect(func() error { return cbor.Unmarshal(b, v) }))
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -64,6 +64,8 @@
 	defaultRemoveAfter = 10 * time.Minute
 	// maxRequestLinesPerSecond limits the log lines of each event that concerns a single request.
 	maxRequestLinesPerSecond = 50
+	// maxMalformedRows limits the malformed rows that are remembered, so that each is logged once.
+	maxMalformedRows = 256
 	// neighboursPerRing is the number of nodes on each ring of the directory to which a node keeps a connection.
 	neighboursPerRing = 2
 )
@@ -121,8 +123,10 @@
 	retryBudgets retry.WindowBudgets
 	quarantine   quarantine.Table
 	recovery     recovery
-	// behindSince is when another node first reported a newer version of the configuration or of the directory.
-	behindSince struct{ config, directory time.Time }
+	// configLag and directoryLag record how long this node has been behind another one.
+	configLag, directoryLag lag
+	// malformedRows holds, by key, one more than the version of the last malformed row of the table of nodes that was logged.
+	malformedRows *kernel.LRU[string, uint64]
 	// departureAcks has a channel for each departure of the own backend server that was sent to other nodes; the channel is
 	// closed when one of them confirms that it keeps the departure.
 	departureAcks map[directory.Incarnation]chan struct{}
@@ -167,7 +171,8 @@
 		return nil, err
 	}
 	n := &Node{settings: o.Settings, clock: o.Clock, log: o.Log, metrics: event.NewMetrics(), deployment: deployment,
-		store: deployment.Store(), jobs: map[uint64]*job{}, departureAcks: map[directory.Incarnation]chan struct{}{}}
+		store: deployment.Store(), jobs: map[uint64]*job{}, departureAcks: map[directory.Incarnation]chan struct{}{},
+		malformedRows: kernel.NewLRU[string, uint64](maxMalformedRows)}
 	if n.clock == nil {
 		n.clock = kernel.SystemClock{}
 	}
@@ -330,7 +335,11 @@
 
 // applyConfig puts a configuration in force unless the current one has the same or a higher version.
 func (n *Node) applyConfig(value []byte, source string) {
-	cfg, err := n.deployment.ReadConfig(value)
+	var cfg *routing.Config
+	err := kernel.Protect(func() (err error) {
+		cfg, err = n.deployment.ReadConfig(value)
+		return err
+	})
 	if err != nil {
 		n.log.Error("config-refused", "source", source, "error", err)
 		return
@@ -343,7 +352,6 @@
 	}
 	n.config.Store(cfg)
 	n.configText = value
-	n.behindSince.config = time.Time{}
 	peers := n.backendStateChangedLocked()
 	n.mu.Unlock()
 	n.transport.SetPersistentPeers(peers)
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -36,11 +36,19 @@
 // Call implements link.Handler. It submits a call of another node.
 func (n *Node) Call(c *link.IncomingCall) {
 	var m callMessage
-	if err := decode(c.Payload, &m); err != nil {
+	err := decode(c.Payload, &m)
+	if err == nil && !m.valid() {
+		err = Err.New("the remaining time %d ms or the wait %d ms is out of range", m.RemainingMS, m.WaitMS)
+	}
+	if err != nil {
+		n.metrics.Add("malformed-calls", 1)
 		n.log.Error("call-malformed", "error", err)
 		c.Answer(encode(answerMessage{Outcome: outcomeUnusable, Reason: "call-malformed"}))
 		return
 	}
+	if !m.Idempotent {
+		c.KeepRunning()
+	}
 	j := n.submit(m, true, func(a answerMessage) { c.Answer(encode(a)) })
 	c.OnCancel(j.cancel)
 }
@@ -256,4 +264,5 @@
 	}
 	runAll(callbacks)
 	j.complete(a)
+	n.backend.bodyMemory.Release(x.reserved)
 }
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -97,7 +97,11 @@
 	table, key := n.deployment.ConfigRow()
 	applyRows := func(rows []Row) {
 		for _, row := range rows {
-			if row.Key == key && !row.Removed {
+			switch {
+			case row.Key != key || row.Removed:
+			case row.Err != nil:
+				n.log.Error("config-refused", "source", "store", "error", row.Err)
+			default:
 				n.applyConfig(row.Value, "store")
 			}
 		}
@@ -108,7 +112,10 @@
 // syncDirectory watches the table of nodes in the store and updates the directory.
 func (n *Node) syncDirectory(ctx context.Context) error {
 	return n.watchTable(ctx, nodesTable, directoryBatchDelay, n.replaceDirectory,
-		func(rows []Row) { n.mergeRows(n.entriesOf(rows)) })
+		func(rows []Row) {
+			entries, _ := n.entriesOf(rows)
+			n.mergeRows(entries)
+		})
 }
 
 // readDirectory reads the whole table of nodes.
@@ -122,28 +129,52 @@
 }
 
 func (n *Node) replaceDirectory(rows []Row, version uint64) {
-	entries := n.entriesOf(rows)
+	entries, malformed := n.entriesOf(rows)
 	n.mu.Lock()
-	n.directory.Replace(entries, version)
+	n.directory.Replace(entries, malformed, version)
 	n.recovery.directoryRead = true
 	n.mu.Unlock()
 	n.handleDirectoryChange()
 }
 
-// entriesOf decodes rows of the table of nodes. It logs and skips malformed rows.
-func (n *Node) entriesOf(rows []Row) []directory.Entry {
-	var entries []directory.Entry
+// entriesOf decodes rows of the table of nodes. It skips malformed rows, which another writer may leave, and returns their
+// keys: they name no node to use, and what was known of the node at that key holds. In place of the row of this node it
+// returns an entry without a backend server, whose version allows this node to write its row again.
+func (n *Node) entriesOf(rows []Row) (entries []directory.Entry, malformed []string) {
 	for _, row := range rows {
 		e := directory.Entry{Node: directory.Node{Address: row.Key}, Version: row.Version, Removed: row.Removed}
-		if !row.Removed {
-			if err := decode(row.Value, &e.Node); err != nil || e.Node.Address != row.Key {
-				n.log.Warn("node-row-malformed", "key", row.Key, "error", err)
-				continue
-			}
+		err := row.Err
+		if err == nil && !row.Removed {
+			err = decode(row.Value, &e.Node)
+		}
+		if err == nil && (e.Node.Address != row.Key || !e.Node.Valid()) {
+			err = Err.New("the address, the state or another field is not valid: remove the row")
+		}
+		if err == nil {
+			entries = append(entries, e)
+			continue
+		}
+		n.logMalformedRow(row, err)
+		if row.Key == n.settings.CallsAddress && row.Version > 0 {
+			entries = append(entries, directory.Entry{Node: directory.Node{Address: row.Key}, Version: row.Version})
+		} else {
+			malformed = append(malformed, row.Key)
 		}
-		entries = append(entries, e)
 	}
-	return entries
+	return entries, malformed
+}
+
+// logMalformedRow counts a malformed row and logs it once for each of its versions.
+func (n *Node) logMalformedRow(row Row, err error) {
+	n.mu.Lock()
+	logged := n.malformedRows.GetOrAdd(row.Key)
+	known := *logged == row.Version+1
+	*logged = row.Version + 1
+	n.mu.Unlock()
+	if !known {
+		n.metrics.Add("malformed-node-rows", 1)
+		n.log.Warn("node-row-malformed", "key", row.Key, "version", row.Version, "error", err)
+	}
 }
 
 // mergeRows merges rows from the store or from another node into the directory.
@@ -165,7 +196,6 @@
 // again if needed.
 func (n *Node) handleDirectoryChange() {
 	n.mu.Lock()
-	n.behindSince.directory = time.Time{}
 	peers := n.updateCandidatesLocked()
 	own, known := n.directory.Entry(n.settings.CallsAddress)
 	if known && own.Node.State == directory.Leaving {
--- a/testbed/relay.go
+++ b/testbed/relay.go
@@ -20,6 +20,8 @@
 	conns kernel.Set[*relayedConn]
 	// refuse makes the relay close new connections immediately.
 	refuse bool
+	// hold makes the relay accept new connections and forward nothing on them.
+	hold bool
 	// delay is the time by which each chunk of data is delayed.
 	delay time.Duration
 }
@@ -82,6 +84,13 @@
 	r.refuse = refuse
 }
 
+// Hold sets whether new connections are accepted without forwarding anything on them, as a frozen machine does.
+func (r *Relay) Hold(hold bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hold = hold
+}
+
 // Delay sets the delay of each chunk of data, in both directions.
 func (r *Relay) Delay(d time.Duration) {
 	r.mu.Lock()
@@ -123,7 +132,7 @@
 
 func (r *Relay) relay(ctx context.Context, client net.Conn) {
 	r.mu.Lock()
-	refuse, target := r.refuse, r.target
+	refuse, hold, target := r.refuse, r.hold, r.target
 	r.mu.Unlock()
 	server, err := net.Dial("tcp", target)
 	if err != nil || refuse {
@@ -134,6 +143,9 @@
 		return
 	}
 	c := &relayedConn{r: r, client: client, server: server, silenced: make(chan struct{}), closed: make(chan struct{})}
+	if hold {
+		c.silenceOnce.Do(func() { close(c.silenced) })
+	}
 	r.mu.Lock()
 	r.conns[c] = struct{}{}
 	r.mu.Unlock()
