--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,8 +1,10 @@
 package admission
 
 import (
+	"cmp"
 	"container/heap"
 	"math/bits"
+	"slices"
 	"time"
 
 	"lovagelane/call"
@@ -92,16 +94,21 @@
 	return e
 }
 
-// setRestricted moves the calls of the restricted operation to the restricted queue, and all others to the unrestricted one.
-// The moved calls keep the order of byImportance there, not the order of arrival.
+// setRestricted moves the calls of the restricted operation to the restricted queue, and all others to the unrestricted one, in
+// the order of their arrival.
 func (q *queue) setRestricted(op *operation) {
+	var moved []*entry
 	for _, e := range q.byImportance {
-		isRestricted := op != nil && e.op == op
-		if isRestricted != (e.fairQueue == &q.restricted) {
-			e.fairQueue.remove(e)
-			q.insert(e, isRestricted)
+		if (op != nil && e.op == op) != (e.fairQueue == &q.restricted) {
+			moved = append(moved, e)
 		}
 	}
+	slices.SortFunc(moved, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+	for _, e := range moved {
+		isRestricted := e.fairQueue == &q.unrestricted
+		e.fairQueue.remove(e)
+		q.insert(e, isRestricted)
+	}
 }
 
 // bands is the number of service bands: each class rank has one for requests within the fair share and one for excess.
--- a/command/apply.go
+++ b/command/apply.go
@@ -198,7 +198,7 @@
 func watchRollout(ctx context.Context, f *applyFlags, result *applyResult) error {
 	fl, err := fleet.New(f.keys)
 	if err != nil {
-		return err
+		return fmt.Errorf("accepted as version %d, but not watched: %w", result.Version, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait)
 	defer cancel()
--- a/node/node.go
+++ b/node/node.go
@@ -235,21 +235,21 @@
 }
 
 // listen opens the listeners, then starts control, which announces their addresses.
-func (n *Node) listen(o Options) error {
-	callers, err := net.Listen("tcp", o.Settings.CallersListen)
-	if err != nil {
-		return err
-	}
-	back, err := net.Listen("tcp", o.Settings.BackendListen)
-	if err != nil {
-		return err
-	}
-	calls, err := net.Listen("tcp", o.Settings.CallsListen)
-	if err != nil {
-		return err
+func (n *Node) listen(o Options) (err error) {
+	var opened []net.Listener
+	open := func(address string) (ln net.Listener) {
+		if err == nil {
+			ln, err = net.Listen("tcp", address)
+			opened = append(opened, ln)
+		}
+		return ln
 	}
-	admin, err := net.Listen("tcp", o.Settings.AdminListen)
+	callers, back := open(o.Settings.CallersListen), open(o.Settings.BackendListen)
+	calls, admin := open(o.Settings.CallsListen), open(o.Settings.AdminListen)
 	if err != nil {
+		for _, ln := range opened[:len(opened)-1] {
+			_ = ln.Close() // The error of the listener that failed is returned.
+		}
 		return err
 	}
 	n.self.Calls, n.self.Callers = calls.Addr().String(), callers.Addr().String()
--- a/node/peer.go
+++ b/node/peer.go
@@ -125,6 +125,7 @@
 	}
 	secured := tls.Client(conn, n.keyring.ClientConfig("http/1.1"))
 	if err := secured.SetDeadline(n.clock.Now().Add(2 * time.Second)); err != nil {
+		_ = conn.Close()
 		return nil, errors.Join(errDial, err)
 	}
 	if err := secured.Handshake(); err != nil {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -108,7 +108,7 @@
 	}
 	i := slices.IndexFunc(e.crashes, func(c crash) bool { return c.id == r.Crash })
 	switch {
-	case i < 0 && !e.makeRoom():
+	case i < 0 && !e.makeRoom(now):
 		return false
 	case i < 0:
 		e.crashes = append(e.crashes, crash{id: r.Crash, cleared: r.Cleared})
@@ -142,16 +142,21 @@
 // Len returns the number of digests in the table.
 func (t *Table) Len() int { return len(t.entries) }
 
-// makeRoom ensures that another crash can be stored, if necessary by removing a cleared one. It returns false when all stored
-// crashes are uncleared: the digest then has reached MaxCrashes without another crash.
-func (e *entry) makeRoom() bool {
+// makeRoom ensures that another crash can be stored, if necessary by removing a cleared one, or the oldest one when the
+// quarantine has ended and the new crash is to start the next. It returns false when all stored crashes are uncleared and the
+// digest is quarantined anyway.
+func (e *entry) makeRoom(now time.Time) bool {
 	if len(e.crashes) < maxCrashesPerDigest {
 		return true
 	}
 	i := slices.IndexFunc(e.crashes, func(c crash) bool { return c.cleared })
-	if i < 0 {
+	if i < 0 && e.quarantined(now) {
 		return false
 	}
+	if i < 0 {
+		i = 0
+		e.uncleared--
+	}
 	e.crashes = slices.Delete(e.crashes, i, i+1)
 	return true
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -107,3 +107,18 @@
 	require.NotEmpty(t, table.Crashed(start, "c-1", []uint64{1}))
 	require.Equal(t, 1, table.Crashes(start, 1), "new crashes replace cleared ones")
 }
+
+// Guards against a request that is not refused again when it crashes a backend server after its quarantine has ended, because
+// the table already holds as many of its crashes as it may.
+func TestCrashAfterManyCrashesQuarantinesAgain(t *testing.T) {
+	var table quarantine.Table
+	now := start
+	for i := range 20 {
+		require.False(t, table.Refuses(now, 7, 0))
+		for table.Merge(now, quarantine.Report{Digest: 7, Crash: fmt.Sprint("a-", i, "-", table.Crashes(now, 7))}) &&
+			!table.Refuses(now, 7, 0) {
+		}
+		require.True(t, table.Refuses(now, 7, 0), "quarantine %d", i)
+		now = now.Add(quarantine.Period)
+	}
+}
--- a/tablestore/client.go
+++ b/tablestore/client.go
@@ -270,13 +270,16 @@
 	return wire
 }
 
-// PutObject stores an object. Storing the same content again has no effect. A put that got no response also returns
-// *UnavailableError, although the object may have been stored.
+// PutObject stores an object. Storing the same content again has no effect. It returns *UnavailableError if nothing was stored,
+// and *UnknownError if the object may have been stored.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
 	path := "/objects/" + url.PathEscape(name)
 	status, body, err := c.do(ctx, request{method: fasthttp.MethodPut, path: path, body: data, http: c.defaultHTTP})
-	if err != nil {
+	switch {
+	case errors.Is(err, errDial), errors.Is(err, fasthttp.ErrNoFreeConns):
 		return &UnavailableError{Cause: err}
+	case err != nil:
+		return &UnknownError{Cause: err}
 	}
 	if status < fasthttp.StatusOK || status >= fasthttp.StatusMultipleChoices {
 		return statusError("PUT "+path, status, body)
