--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 # Exactly the tests that KNOWN-RED.txt lists, as in ^(TestOne|TestTwo)$$; ^$$ skips none.
 KNOWN_RED := ^$$
 
-.PHONY: build format lint test demo bench clean
+# The kinds of machine that nodes run on.
+ARCHITECTURES := amd64 arm64
+
+.PHONY: build format lint cross test demo bench clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -18,6 +21,13 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# Compiles and vets everything, tests included, for each kind of machine.
+cross:
+	@for arch in $(ARCHITECTURES); do \
+		echo "build and vet for $$arch"; \
+		CGO_ENABLED=0 GOARCH=$$arch $(GO) build ./... && CGO_ENABLED=0 GOARCH=$$arch $(GO) vet ./... || exit 1; \
+	done
+
 test:
 	@cat KNOWN-RED.txt
 	$(GO) test -timeout 280s -skip '$(KNOWN_RED)' ./...
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -10,9 +10,15 @@
 )
 
 const (
-	// crossZoneRoundTrip and crossRegionRoundTrip are the round trips to another availability zone and to another region.
-	crossZoneRoundTrip   = time.Millisecond
-	crossRegionRoundTrip = 60 * time.Millisecond
+	// initialZoneRoundTrip and initialRegionRoundTrip are the round trips assumed to another availability zone and to another
+	// region before calls have shown them.
+	initialZoneRoundTrip   = time.Millisecond
+	initialRegionRoundTrip = 60 * time.Millisecond
+	// roundTripSmoothing is the weight of one call in the moving average of the round trip to a place. It is small, since a call
+	// that opens a connection takes several round trips.
+	roundTripSmoothing = 0.05
+	// maxRoundTrip bounds one sample of a round trip.
+	maxRoundTrip = time.Second
 	// crossZonePenalty and crossRegionPenalty are the times that a call must save by leaving its availability zone or region,
 	// for each KB that it moves, because traffic on those links is billed by volume.
 	crossZonePenalty   = 20 * time.Millisecond
@@ -127,6 +133,8 @@
 	peers     map[string]*peer
 	byService map[string][]*peer
 	profiles  *kernel.LRU[string, profile]
+	// roundTrips holds the moving average of the round trip to each place that was called.
+	roundTrips map[balance.Place]time.Duration
 	// regionWaits holds the average queue waits by service and region.
 	regionWaits map[serviceRegion]regionWait
 }
@@ -188,6 +196,15 @@
 		c.byService[candidate.Service] = append(c.byService[candidate.Service], p)
 	}
 	c.peers = peers
+	places := kernel.Set[balance.Place]{}
+	for _, candidate := range candidates {
+		places[candidate.Place] = struct{}{}
+	}
+	for place := range c.roundTrips {
+		if !places.Has(place) {
+			delete(c.roundTrips, place)
+		}
+	}
 	for key := range c.regionWaits {
 		if len(c.byService[key.service]) == 0 {
 			delete(c.regionWaits, key)
@@ -266,14 +283,39 @@
 	kilobytes := c.typicalBytes(route) / (1 << 10)
 	switch place := p.candidate.Place; {
 	case place.Region != c.home.Region:
-		return crossRegionRoundTrip + time.Duration(kilobytes*float64(crossRegionPenalty)) +
+		return c.roundTrip(place) + time.Duration(kilobytes*float64(crossRegionPenalty)) +
 			c.regionWaits[p.candidate.serviceRegion()].current(now)
 	case place != c.home:
-		return crossZoneRoundTrip + time.Duration(kilobytes*float64(crossZonePenalty))
+		return c.roundTrip(place) + time.Duration(kilobytes*float64(crossZonePenalty))
 	}
 	return 0
 }
 
+// roundTrip returns the expected round trip to a place.
+func (c *Chooser) roundTrip(place balance.Place) time.Duration {
+	if d, known := c.roundTrips[place]; known {
+		return d
+	}
+	if place.Region != c.home.Region {
+		return initialRegionRoundTrip
+	}
+	return initialZoneRoundTrip
+}
+
+// RecordRoundTrip records how long a call to a node of another place took beyond its time there.
+func (c *Chooser) RecordRoundTrip(address string, d time.Duration) {
+	p := c.peers[address]
+	if p == nil || p.candidate.Place == c.home || d < 0 {
+		return
+	}
+	if c.roundTrips == nil {
+		c.roundTrips = map[balance.Place]time.Duration{}
+	}
+	place := p.candidate.Place
+	average := c.roundTrip(place)
+	c.roundTrips[place] = average + time.Duration(float64(min(d, maxRoundTrip)-average)*roundTripSmoothing)
+}
+
 // TypicalRunTime returns the typical run time of a route's calls, a moving average.
 func (c *Chooser) TypicalRunTime(route string) time.Duration {
 	if p := c.profile(route); p != nil {
--- a/dispatch/chooser_test.go
+++ b/dispatch/chooser_test.go
@@ -255,3 +255,25 @@
 	}
 	require.LessOrEqual(t, failed, requests/100)
 }
+
+// Guards against a distance that is a constant of one deployment: calls go to the region that is near by their own experience.
+func TestRoundTripsAreLearned(t *testing.T) {
+	var c dispatch.Chooser
+	c.Update(home, []dispatch.Candidate{
+		{Address: "near", Service: "maps", Place: home, Slots: 10},
+		{Address: "west", Service: "maps", Place: balance.Place{Region: "ce", AvailabilityZone: "ce-1"}, Slots: 10},
+		{Address: "east", Service: "maps", Place: balance.Place{Region: "pi", AvailabilityZone: "pi-1"}, Slots: 10},
+	})
+	for range 100 {
+		c.RecordOutcome(start, "near", dispatch.Answered{Route: "read", RunTime: 40 * time.Millisecond, Bytes: 500})
+		c.RecordRoundTrip("west", 250*time.Millisecond)
+		c.RecordRoundTrip("east", 12*time.Millisecond)
+		c.RecordRoundTrip("near", time.Second)
+	}
+	require.Equal(t, "near", choose(t, &c, start, query).Address)
+	c.RecordLoad(start, "near", fullLoad(120*time.Millisecond))
+	require.Equal(t, "east", choose(t, &c, start, query).Address)
+	q := query
+	q.Exclude = kernel.SetOf("east")
+	require.Equal(t, "near", choose(t, &c, start, q).Address)
+}
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -41,7 +41,7 @@
 		if failure != nil {
 			return failure
 		}
-		n.reportOutcome(r, choice.Address, answer)
+		n.reportOutcome(r, choice.Address, answer, n.clock.Now().Sub(now))
 		if res := n.handleAnswer(r, choice, answer); res != nil {
 			return res
 		}
@@ -137,8 +137,8 @@
 	return ok
 }
 
-// reportOutcome passes the load and the outcome of an attempt to the chooser.
-func (n *Node) reportOutcome(r *request, address string, a answerMessage) {
+// reportOutcome passes the load and the outcome of an attempt to the chooser, and the part of its time that was spent on the way.
+func (n *Node) reportOutcome(r *request, address string, a answerMessage, took time.Duration) {
 	now := n.clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -149,6 +149,7 @@
 	switch a.Outcome {
 	case outcomeAnswered:
 		r.sent++
+		n.chooser.RecordRoundTrip(address, took-time.Duration(a.WaitedMicros+a.RanMicros)*time.Microsecond)
 		o = dispatch.Answered{Route: r.route.Name, RunTime: time.Duration(a.RanMicros) * time.Microsecond,
 			Bytes: len(r.head) + len(r.body) + len(a.Head) + len(a.Body)}
 	case outcomeCapped:
