--- a/directory/directory.go
+++ b/directory/directory.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"hash/fnv"
 	"maps"
-	"net"
 	"slices"
-	"strconv"
+
+	"lovagelane/kernel"
 )
 
 // State is the availability of a backend server for calls.
@@ -69,17 +69,7 @@
 			return false
 		}
 	}
-	return isDialable(n.Address) && n.Slots >= 0 && n.Slots <= maxSlots && n.State <= Leaving
-}
-
-// isDialable reports whether an address consists of a host and a port.
-func isDialable(address string) bool {
-	host, port, err := net.SplitHostPort(address)
-	if err != nil || host == "" || len(address) > maxTextBytes {
-		return false
-	}
-	n, err := strconv.ParseUint(port, 10, 16)
-	return err == nil && n > 0
+	return len(n.Address) <= maxTextBytes && kernel.IsDialable(n.Address) && n.Slots >= 0 && n.Slots <= maxSlots && n.State <= Leaving
 }
 
 // Entry is a node as recorded in a row of the store.
--- a/link/peer.go
+++ b/link/peer.go
@@ -48,6 +48,7 @@
 	Done chan Result
 	// Stalled is closed when the receiver can't be reached and the call may be running there. A result may still arrive.
 	Stalled chan struct{}
+	// stalled is set once Stalled is closed.
 	stalled bool
 	peer    *Peer
 	number  uint64
--- a/membership/row.go
+++ b/membership/row.go
@@ -4,9 +4,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
-	"strconv"
 	"time"
+
+	"lovagelane/kernel"
 )
 
 // maxLease bounds the lease that a row may state.
@@ -34,22 +34,13 @@
 		return Row{}, fmt.Errorf("the lease of %d ms is out of range", r.LeaseMillis)
 	}
 	for _, address := range []string{r.Member.Calls, r.Member.Control, r.Member.Callers} {
-		if address != "" && !isDialable(address) {
+		if address != "" && !kernel.IsDialable(address) {
 			return Row{}, fmt.Errorf("the address %.60q has no host or no port from 1 to 65535", address)
 		}
 	}
 	return r, nil
 }
 
-func isDialable(address string) bool {
-	host, port, err := net.SplitHostPort(address)
-	if err != nil || host == "" {
-		return false
-	}
-	n, err := strconv.ParseUint(port, 10, 16)
-	return err == nil && n > 0
-}
-
 // IsLive reports whether the lease of the row covers its age.
 func (r Row) IsLive(age time.Duration) bool {
 	return age <= time.Duration(r.LeaseMillis)*time.Millisecond
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -216,10 +216,10 @@
 	if !r.route.Idempotent {
 		return false
 	}
+	// The stalled call counts against the attempts of the route; reportOutcome counts it only when it has ended.
 	r.sent++
-	taken := n.takeRepeat(r)
-	r.sent--
-	return taken
+	defer func() { r.sent-- }()
+	return n.takeRepeat(r)
 }
 
 // attemptLocal submits the call to the own backend server and waits for the answer.
