--- a/disconnect/watch.go
+++ b/disconnect/watch.go
@@ -94,6 +94,21 @@
 	return closed
 }
 
+// IsQuiet reports whether a connection is open and has no unread bytes. It can't tell for a connection without access to its
+// socket, and reports true.
+func IsQuiet(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending, closed := Peek(raw)
+	return !pending && !closed
+}
+
 // Peek reports whether a socket has unread data and whether it is closed or unusable, without consuming data. A read of zero
 // bytes without an error means that the peer has closed the connection.
 func Peek(conn syscall.RawConn) (pending, closed bool) {
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -173,21 +172,7 @@
 
 // isClean reports whether an idle connection is open and has no unread bytes. Bytes after an answer belong to no request, so
 // that such a connection can't be reused.
-func (k *backendConn) isClean() bool {
-	if k.r.Buffered() > 0 {
-		return false
-	}
-	sc, ok := k.c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	pending, closed := disconnect.Peek(raw)
-	return !pending && !closed
-}
+func (k *backendConn) isClean() bool { return k.r.Buffered() == 0 && disconnect.IsQuiet(k.c) }
 
 // exchange sends a call to the backend server with the given id and reads its answer.
 func (b *backend) exchange(j *job, id string, remaining time.Duration) exchangeResult {
--- a/node/guarded.go
+++ b/node/guarded.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"sync/atomic"
-	"syscall"
 
 	"lovagelane/disconnect"
 )
@@ -40,21 +39,8 @@
 
 // Write writes to the connection. The first write after a read begins a call.
 func (c *guardedConn) Write(b []byte) (int, error) {
-	if c.answered.CompareAndSwap(true, false) && !c.isQuiet() {
+	if c.answered.CompareAndSwap(true, false) && !disconnect.IsQuiet(c.Conn) {
 		return 0, errStrayBytes
 	}
 	return c.Conn.Write(b)
 }
-
-func (c *guardedConn) isQuiet() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	pending, closed := disconnect.Peek(raw)
-	return !pending && !closed
-}
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -110,6 +110,22 @@
 	}
 }
 
+// relayPayments announces the calls address of the node of service payments as that of a relay. The relay exists once that node
+// was announced.
+func relayPayments(t *testing.T, d *deployment) **relay {
+	r := new(*relay)
+	d.announceAs = func(m membership.Member) membership.Member {
+		if m.Service == "payments" {
+			if *r == nil {
+				*r = newRelay(t, m.Calls)
+			}
+			m.Calls = (*r).ln.Addr().String()
+		}
+		return m
+	}
+	return r
+}
+
 // Guards against a call that is lost, runs twice or waits for its deadline because a connection between nodes went silent.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	for name, tc := range map[string]struct{ up, down bool }{
@@ -118,23 +134,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, chainInventory, chainRules)
-			var r *relay
-			d.announceAs = func(m membership.Member) membership.Member {
-				if m.Service == "payments" {
-					if r == nil {
-						r = newRelay(t, m.Calls)
-					}
-					m.Calls = r.ln.Addr().String()
-				}
-				return m
-			}
+			relayed := relayPayments(t, d)
 			payments := d.startInstance("payments", text("paid"))
 			entry := d.startInstance("nursery", callThrough("nursery", "POST", "/payments/pay"))
 			first := d.send(entry.Addresses().Callers, "GET", "/nursery/x", "")
 			require.Equal(t, "nursery(paid)", string(first.Body()))
 			require.EqualValues(t, 1, payments.ran.Load())
 
-			r.silence(tc.up, tc.down)
+			(*relayed).silence(tc.up, tc.down)
 			second := d.send(entry.Addresses().Callers, "GET", "/nursery/x?again", "")
 			require.Equal(t, "nursery(paid)", string(second.Body()))
 			require.EqualValues(t, 2, payments.ran.Load())
@@ -146,20 +153,12 @@
 // way over a new connection, as happens on a busy machine.
 func TestStreamedRequestInTransitIsNotLost(t *testing.T) {
 	d := newDeployment(t, chainInventory, chainRules)
-	var r *relay
-	d.announceAs = func(m membership.Member) membership.Member {
-		if m.Service == "payments" {
-			if r == nil {
-				r = newRelay(t, m.Calls)
-			}
-			m.Calls = r.ln.Addr().String()
-		}
-		return m
-	}
+	relayed := relayPayments(t, d)
 	d.startInstance("payments", func(ctx *fasthttp.RequestCtx, _ func(string, string, string) *fasthttp.Response) {
 		ctx.SetBody(ctx.PostBody())
 	})
 	entry := d.startInstance("nursery", text("ordered"))
+	r := *relayed
 	r.mu.Lock()
 	r.delayNext = 400 * time.Millisecond
 	r.mu.Unlock()
