--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -16,7 +16,7 @@
 	maxRetryDelay = 2 * time.Second
 	// directoryBatchDelay is the longest delay between two reads of the directory's change feed. It batches changes, because the
 	// store charges for each call. Meanwhile the changes also arrive by gossip from nodes that read them earlier.
-	directoryBatchDelay = 5 * time.Second
+	directoryBatchDelay = 2500 * time.Millisecond
 	// recoveryPeerWait is how long a started node waits, after its first peer connected, for other nodes to return a
 	// departure that they keep for it. It applies only if the store can't be read.
 	recoveryPeerWait = 1500 * time.Millisecond
