--- a/review/platform/cases.go
+++ b/review/platform/cases.go
@@ -173,7 +173,7 @@
 // slowReaders lets clients read large answers slowly.
 func slowReaders(d *deployment) ([]string, error) {
 	const (
-		clients  = 60
+		clients  = 54
 		size     = 8_000_000
 		deadline = 10 * time.Second
 	)
