Review: let the slow readers begin within 3 s

Cause: with 10 requests a second some clients were done before others began, and the node exceeded its memory by 2 to 5 MB only. Done: 20 requests a second. Nothing else of the case changed.

--- a/review/platform/cases.go
+++ b/review/platform/cases.go
@@ -181,7 +181,7 @@
 	if d.trouble {
 		rate = 1_000_000 // 8 s for the answer
 	}
-	return d.memoryCase(clients, 1, 100*time.Millisecond, func(i int) request {
+	return d.memoryCase(clients, 1, 50*time.Millisecond, func(i int) request {
 		q := get(fmt.Sprintf("photo-%d", i), fmt.Sprintf("/photo/%d", i), deadline)
 		q.bytesPerSecond, q.slowFor = rate, deadline
 		return q
