--- a/review/platform/cases.go
+++ b/review/platform/cases.go
@@ -25,6 +25,12 @@
 	return request{id: id, method: http.MethodGet, path: path, host: host, deadline: deadline}
 }
 
+// duringStop reports whether a connection ended while the planned work of a SIGTERM excuses nothing: until 1 s after the grace
+// period.
+func duringStop(termAt, endedAt time.Time) bool {
+	return endedAt.After(termAt) && endedAt.Before(termAt.Add(grace+time.Second))
+}
+
 // slowReaderStop stops a node with SIGTERM while clients read large answers slowly. They are done within their deadline and before
 // the end of the grace period.
 func slowReaderStop(d *deployment) ([]string, error) {
@@ -72,9 +78,10 @@
 		if r.sentAt.IsZero() {
 			return nil, fmt.Errorf("request %s could not be sent: %v", r.req.id, r.err)
 		}
-		// LOST: passed on to a backend, and the connection ended without a complete answer before the deadline.
+		// LOST: passed on to a backend, and the connection ended without a complete answer before the deadline, from the SIGTERM
+		// until 1 s after the grace period. The route has no timeout, and the backend ends its work before the SIGTERM.
 		passed := d.nodes[0].b.runCount(r.req.id)+d.nodes[1].b.runCount(r.req.id) > 0
-		if passed && !r.complete && r.endedAt.Before(r.sentAt.Add(deadline)) {
+		if passed && !r.complete && r.endedAt.Before(r.sentAt.Add(deadline)) && duringStop(termAt, r.endedAt) {
 			broken = append(broken, fmt.Sprintf("LOST: %s was passed on, %d of %d bytes came, the connection ended %.2f s after SIGTERM and %.2f s after the request (deadline %v): %v",
 				r.req.id, r.read, r.length, r.endedAt.Sub(termAt).Seconds(), r.endedAt.Sub(r.sentAt).Seconds(), deadline, r.err))
 		}
@@ -156,11 +163,11 @@
 		}
 		took := r.endedAt.Sub(r.sentAt)
 		runs := d.nodes[0].b.runCount(r.req.id) + d.nodes[1].b.runCount(r.req.id)
-		// LOST: sent before the end of the grace period, the connection ended without an answer later than lost_time after the
+		// LOST: from the SIGTERM until 1 s after the grace period, the connection ended without an answer later than lost_time after the
 		// request's last byte, before its deadline and the route's timeout. Requests at which a backend worked in the last sixth of the
 		// grace period don't count: only those that no backend has begun are counted here. A request that the node had not read
 		// is answered by nothing within lost_time, or the connection is refused.
-		if runs == 0 && took > 200*time.Millisecond && took < timeout && r.sentAt.Before(termAt.Add(grace)) {
+		if runs == 0 && took > 200*time.Millisecond && took < timeout && duringStop(termAt, r.endedAt) {
 			broken = append(broken, fmt.Sprintf("LOST: %s, sent %.2f s after SIGTERM, ended without an answer %.2f s after SIGTERM (%.2f s after it was sent, deadline %v, timeout %v), no backend ran it: %v",
 				r.req.id, r.sentAt.Sub(termAt).Seconds(), r.endedAt.Sub(termAt).Seconds(), took.Seconds(), deadline, timeout, r.err))
 		}
@@ -170,23 +177,90 @@
 	return broken, nil
 }
 
-// slowReaders lets clients read large answers slowly.
+// slowReaders lets clients of two nodes read large answers slowly, in waves, until each node's process has ended three times.
 func slowReaders(d *deployment) ([]string, error) {
 	const (
 		clients  = 54
+		gap      = 50 * time.Millisecond
 		size     = 8_000_000
 		deadline = 10 * time.Second
+		waves    = 3
+		limit    = 3
 	)
 	rate := 0
 	if d.trouble {
 		rate = 1_000_000 // 8 s for the answer
 	}
-	return d.memoryCase(clients, 1, 50*time.Millisecond, func(i int) request {
-		q := get(fmt.Sprintf("photo-%d", i), fmt.Sprintf("/photo/%d", i), deadline)
-		q.bytesPerSecond, q.slowFor = rate, deadline
-		return q
-	}, routeConfig{Name: "r-photo", Host: host, Prefix: "/photo/", Kind: "download", TargetLatency: "2500ms", Priority: 2, Service: "huvo11a", MaxAttempts: 2},
-		80*time.Millisecond, size)
+	if err := d.startMemoryCase(routeConfig{Name: "r-photo", Host: host, Prefix: "/photo/", Kind: "download", TargetLatency: "2500ms",
+		Priority: 2, Service: "huvo11a", MaxAttempts: 2}, 80*time.Millisecond, size); err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	kills := make([]int, len(d.nodes))
+	for i, n := range d.nodes {
+		go n.limitMemory(d.done, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			kills[i]++
+		})
+	}
+	var wg sync.WaitGroup
+	counts := map[string]int{}
+	for i, n := range d.nodes {
+		wg.Go(func() {
+			for w := range waves {
+				if err := d.awaitServing(n); err != nil {
+					d.rec.line("not-serving", "node", n.name, "error", err)
+					return
+				}
+				var wave sync.WaitGroup
+				for c := range clients {
+					wave.Go(func() {
+						q := get(fmt.Sprintf("photo-%d-%d-%d", i, w, c), fmt.Sprintf("/photo/%d", c), deadline)
+						q.bytesPerSecond, q.slowFor = rate, deadline
+						r := do(n.outbound, q)
+						d.recordResponse(n, r)
+						mu.Lock()
+						defer mu.Unlock()
+						counts[fmt.Sprintf("status %d complete %v", r.status, r.complete)]++
+					})
+					time.Sleep(gap)
+				}
+				wave.Wait()
+			}
+		})
+	}
+	wg.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	for _, n := range d.nodes {
+		d.rec.line("memory", "node", n.name, "peak-mb", n.peakMB.Load(), "limit-mb", memoryMB)
+		fmt.Println(n.name, "peak MB", n.peakMB.Load())
+	}
+	d.rec.line("outcomes", "counts", fmt.Sprint(counts), "kills", fmt.Sprint(kills))
+	fmt.Println(counts, "ends of each process:", kills)
+	// Fault: the processes of a tenth of the machines, two at least, end by themselves three times.
+	var broken []string
+	for i, n := range d.nodes {
+		if kills[i] >= limit {
+			broken = append(broken, fmt.Sprintf("Fault: the process of %s exceeded %d MB and ended %d times", n.name, memoryMB, kills[i]))
+		}
+	}
+	if len(broken) < 2 {
+		return nil, nil
+	}
+	return broken, nil
+}
+
+// awaitServing waits until a node is ready and serves a request.
+func (d *deployment) awaitServing(n *node) error {
+	for limit := time.Now().Add(15 * time.Second); time.Now().Before(limit); time.Sleep(100 * time.Millisecond) {
+		q := get(fmt.Sprintf("serving-%s-%d", n.name, time.Now().UnixNano()), "/map/x", 2*time.Second)
+		if do(n.outbound, q).status == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("node %s doesn't serve", n.name)
 }
 
 // uploads lets a fixed number of clients send large bodies, one after the other, and 1.8 times as many during a burst.
@@ -311,9 +385,8 @@
 	return broken, nil
 }
 
-// memoryCase sends requests to one node, kills a node that exceeds its memory as the platform does, and counts the requests that
-// were passed on and whose connection then ended without a complete answer.
-func (d *deployment) memoryCase(clients, rounds int, gap time.Duration, build func(i int) request, route routeConfig, work time.Duration, size int) ([]string, error) {
+// startMemoryCase starts two nodes whose backends take the given time and answer with the given size.
+func (d *deployment) startMemoryCase(route routeConfig, work time.Duration, size int) error {
 	d.configure("r7", map[string]int{"huvo11a": 352}, route,
 		routeConfig{Name: "r-map", Host: host, Prefix: "/map/", Kind: "safe", TargetLatency: "1500ms", Priority: 2, Service: "huvo11a", MaxAttempts: 2})
 	err := d.pair(42, func(r *http.Request) (time.Duration, int) {
@@ -323,9 +396,15 @@
 		return work, size
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if err := d.awaitReady(host, "/map/x"); err != nil {
+	return d.awaitReady(host, "/map/x")
+}
+
+// memoryCase sends requests to one node, kills a node that exceeds its memory as the platform does, and counts the requests that
+// were passed on from a kept connection, which then ended without an answer.
+func (d *deployment) memoryCase(clients, rounds int, gap time.Duration, build func(i int) request, route routeConfig, work time.Duration, size int) ([]string, error) {
+	if err := d.startMemoryCase(route, work, size); err != nil {
 		return nil, err
 	}
 	kills := 0
@@ -360,9 +439,10 @@
 	for _, r := range results {
 		counts[fmt.Sprintf("status %d complete %v", r.status, r.complete)]++
 		runs := d.nodes[0].b.runCount(r.req.id) + d.nodes[1].b.runCount(r.req.id)
-		if runs > 0 && !r.complete && !r.sentAt.IsZero() && r.endedAt.Before(r.sentAt.Add(r.req.deadline-50*time.Millisecond)) {
-			broken = append(broken, fmt.Sprintf("LOST: %s was passed on, and its connection ended %.2f s after it was sent, %d of %d bytes read: %v",
-				r.req.id, r.endedAt.Sub(r.sentAt).Seconds(), r.read, r.length, r.err))
+		// LOST: the request came on a kept connection and was passed on, and the connection ended without an answer.
+		if runs > 0 && r.status == 0 && !r.sentAt.IsZero() && r.endedAt.Before(r.sentAt.Add(r.req.deadline-50*time.Millisecond)) {
+			broken = append(broken, fmt.Sprintf("LOST: %s was passed on, and its connection ended without an answer %.2f s after it was sent: %v",
+				r.req.id, r.endedAt.Sub(r.sentAt).Seconds(), r.err))
 		}
 	}
 	for _, n := range d.nodes {
