Refuse requests that still wait for a slot at the end of a planned stop

Calls of another node that waited at the stopping one ended as 502 there, though they had not run.

Cause: a stop only waited for requests that it had taken. Nothing ended their wait for a slot, here or at the node that their call had been sent to, which can last until shortly before their deadline.

Change: a request whose deadline is after the end of the stop has a latest start, two typical run times before that end. Then its call is withdrawn where it waits (new frame between nodes): it is answered as not run if it has not started, else it goes on. The request is refused with 503 and Retry-After. Queued calls of other nodes are given back in the same way.

--- a/link/frame.go
+++ b/link/frame.go
@@ -34,6 +34,8 @@
 	// kindOutcomeUnknown rejects a call that the sender has acknowledged or that exceeds maxCallsPerSession. The call may
 	// have run before.
 	kindOutcomeUnknown
+	// kindWithdraw asks for the call with that number to be answered at once if it has not started.
+	kindWithdraw
 )
 
 const (
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -76,6 +76,11 @@
 		defer n.mu.Unlock()
 		n.cancel[name] = true
 	})
+	c.OnWithdraw(func() {
+		if name != "running" {
+			c.Answer([]byte("withdrawn"))
+		}
+	})
 }
 
 func (n *node) runCount(name string) int {
@@ -301,3 +306,40 @@
 		require.NoError(t, c.Close())
 	}
 }
+
+// Guards against a withdrawal that ends a running call, that is lost with the connection, or that leaves a call without a result.
+func TestWithdrawnCallIsAnsweredUnlessItRuns(t *testing.T) {
+	receiver, sender := start(t, 1, "127.0.0.1:0"), start(t, 2, "127.0.0.1:0")
+	relay, err := testbed.NewRelay(sender.group, receiver.address)
+	require.NoError(t, err)
+	peer := sender.transport.Peer(relay.Address())
+	queued, running := peer.Call([]byte("queued")), peer.Call([]byte("running"))
+	eventually(t, func() bool { return receiver.runCount("queued") == 1 && receiver.runCount("running") == 1 })
+	queued.Withdraw()
+	running.Withdraw()
+	require.Equal(t, link.Answer{Payload: []byte("withdrawn")}, result(t, queued))
+	require.Empty(t, running.Done)
+	receiver.answer(t, "running")
+	require.Equal(t, link.Answer{Payload: []byte("answer to running")}, result(t, running))
+
+	later := peer.Call([]byte("later"))
+	eventually(t, func() bool { return receiver.runCount("later") == 1 })
+	relay.Refuse(true)
+	relay.Cut()
+	unsent := sender.transport.Peer(closedAddress(t)).Call([]byte("unsent"))
+	unsent.Withdraw()
+	require.Equal(t, link.Lost{}, result(t, unsent))
+	time.Sleep(100 * time.Millisecond) // The sender has seen the end of the connection.
+	later.Withdraw()
+	relay.Refuse(false)
+	require.IsType(t, link.Answer{}, result(t, later))
+	require.Equal(t, 1, receiver.runCount("later"))
+}
+
+// closedAddress returns an address at which nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	list, err := testbed.Addresses(1)
+	require.NoError(t, err)
+	return list[0]
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -54,6 +54,8 @@
 	number  uint64
 	payload []byte
 	sent    bool
+	// withdrawn is set by Withdraw.
+	withdrawn bool
 }
 
 // Peer sends calls to the node at one address.
@@ -113,9 +115,30 @@
 	}
 }
 
+// Withdraw asks the receiver to answer the call at once if it has not started there. A call that was not sent ends as Lost. The
+// result arrives on Done in any case.
+func (c *Pending) Withdraw() {
+	p := c.peer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.pending[c.number]; !ok || c.withdrawn {
+		return
+	}
+	c.withdrawn = true
+	switch {
+	case !c.sent:
+		p.completeLocked(c.number, Lost{})
+	case p.conn != nil:
+		p.conn.send(frame{kind: kindWithdraw, number: c.number})
+	}
+}
+
 func (p *Peer) sendLocked(c *Pending) {
 	c.sent = true
 	p.conn.send(frame{kind: kindCall, number: c.number, payload: c.payload})
+	if c.withdrawn {
+		p.conn.send(frame{kind: kindWithdraw, number: c.number})
+	}
 }
 
 func (p *Peer) completeLocked(number uint64, r Result) {
--- a/link/session.go
+++ b/link/session.go
@@ -32,6 +32,8 @@
 	keepRunning bool
 	cancelled   bool
 	onCancel    func()
+	withdrawn   bool
+	onWithdraw  func()
 	done        bool
 	answer      []byte
 }
@@ -97,6 +99,8 @@
 		}
 	case kindCancel:
 		s.cancel(f.number)
+	case kindWithdraw:
+		s.withdraw(f.number)
 	case kindAck:
 		s.acknowledge(f.number)
 	case kindPing:
@@ -180,6 +184,35 @@
 	}
 }
 
+// withdraw passes a withdrawal to the handler of the call. The sender resends a call before its withdrawal, so that a call that
+// is not stored needs none.
+func (s *session) withdraw(number uint64) {
+	s.mu.Lock()
+	c, ok := s.calls[number]
+	if !ok || c.done || c.withdrawn {
+		s.mu.Unlock()
+		return
+	}
+	c.withdrawn = true
+	f := c.onWithdraw
+	s.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+// OnWithdraw registers f to be called once when the sender withdraws the call, or calls it at once if that has already happened.
+// The handler then answers the call if it has not started; otherwise it goes on.
+func (c *IncomingCall) OnWithdraw(f func()) {
+	c.session.mu.Lock()
+	c.onWithdraw = f
+	withdrawn := c.withdrawn && !c.done
+	c.session.mu.Unlock()
+	if withdrawn {
+		f()
+	}
+}
+
 // acknowledge drops the stored answers below number. It cancels calls below it that still run, since the sender no longer
 // needs their answers.
 func (s *session) acknowledge(number uint64) {
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -29,7 +29,15 @@
 		if !now.Before(r.deadline) {
 			return r.refusal("deadline")
 		}
-		choice, ok := n.choose(now, r)
+		latest, stopping := n.latestStart(r)
+		if stopping && !now.Before(latest) {
+			return r.stoppingRefusal()
+		}
+		maxWait := max(r.maxWait-r.waited, 0)
+		if stopping {
+			maxWait = min(maxWait, latest.Sub(now))
+		}
+		choice, ok := n.choose(now, r, maxWait)
 		if !ok && r.capped {
 			return r.refusal("short-below")
 		}
@@ -57,6 +65,7 @@
 	case outcomeBusy:
 		r.recordBusy(choice, a)
 	case outcomeUnusable:
+		r.waited += time.Duration(a.WaitedMicros) * time.Microsecond
 		r.excluded = r.excluded.With(choice.Address)
 	case outcomeQuarantined:
 		return r.refusal("quarantined")
@@ -113,11 +122,19 @@
 	return refusedResult{reason: reason, retryAfter: r.shortestWait}
 }
 
-func (n *Node) choose(now time.Time, r *request) (dispatch.Choice, bool) {
+// stoppingRefusal returns the result of a request that can't be finished before this node stops.
+func (r *request) stoppingRefusal() result {
+	if r.mayHaveRun {
+		return failedResult{reason: "stopping"}
+	}
+	return refusedResult{reason: "stopping", retryAfter: notReadyRetryAfter}
+}
+
+func (n *Node) choose(now time.Time, r *request, maxWait time.Duration) (dispatch.Choice, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.chooser.Choose(now, dispatch.Query{Service: r.service, Route: r.route.Name, Objective: r.route.Objective,
-		Exclude: r.excluded, MaxWait: max(r.maxWait-r.waited, 0)}, n.rand)
+		Exclude: r.excluded, MaxWait: maxWait}, n.rand)
 }
 
 // takeRepeat takes a repeat from the shared retry budget and reports whether the route and the budget allow it.
@@ -185,11 +202,21 @@
 		return n.attemptLocal(m, r.callerGone, timer.C)
 	}
 	p := n.transport.Peer(choice.Address).Call(encode(m))
-	stalled := p.Stalled
+	stalled, stopStarted := p.Stalled, n.stopStarted
+	var withdraw <-chan time.Time
 	for {
 		select {
 		case res := <-p.Done:
 			return n.decodeAnswer(res), nil
+		case <-stopStarted:
+			stopStarted = nil
+			if latest, stopping := n.latestStart(r); stopping {
+				withdrawTimer := time.NewTimer(latest.Sub(n.clock.Now()))
+				defer withdrawTimer.Stop()
+				withdraw = withdrawTimer.C
+			}
+		case <-withdraw:
+			p.Withdraw()
 		case <-stalled:
 			if n.giveUpStalled(r, choice.Address) {
 				p.Cancel()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -103,6 +103,9 @@
 	listeners  []net.Listener
 	config     atomic.Pointer[routing.Config]
 	stopping   atomic.Bool
+	// stop is set once Stop was called, and stopStarted is closed then.
+	stop        atomic.Pointer[stopSchedule]
+	stopStarted chan struct{}
 	// requestCutoff is set in the last phase of Stop: requests with a later deadline are refused.
 	requestCutoff atomic.Pointer[time.Time]
 	// callCutoff is set in the first phase of Stop: calls of other nodes are accepted only with an earlier deadline.
@@ -172,7 +175,7 @@
 	}
 	n := &Node{settings: o.Settings, clock: o.Clock, log: o.Log, metrics: event.NewMetrics(), deployment: deployment,
 		store: deployment.Store(), jobs: map[uint64]*job{}, departureAcks: map[directory.Incarnation]chan struct{}{},
-		malformedRows: kernel.NewLRU[string, uint64](maxMalformedRows)}
+		malformedRows: kernel.NewLRU[string, uint64](maxMalformedRows), stopStarted: make(chan struct{})}
 	if n.clock == nil {
 		n.clock = kernel.SystemClock{}
 	}
@@ -274,6 +277,7 @@
 		case <-timer.C:
 		}
 		n.expireQueued()
+		n.withdrawUnfinishable()
 		if count%idleTrimTicks == 0 {
 			n.backend.closeExpired(n.clock.Now())
 		}
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -51,6 +51,7 @@
 	}
 	j := n.submit(m, true, func(a answerMessage) { c.Answer(encode(a)) })
 	c.OnCancel(j.cancel)
+	c.OnWithdraw(func() { j.withdraw("withdrawn") })
 }
 
 // submit requests a slot of the own backend server for a call of this node or of another one (remote). It passes the answer
@@ -181,7 +182,6 @@
 // closed, which signals the cancellation to the backend server.
 func (j *job) cancel() {
 	n := j.n
-	now := n.clock.Now()
 	n.mu.Lock()
 	if j.done || j.cancelled {
 		n.mu.Unlock()
@@ -196,14 +196,32 @@
 		}
 		return
 	}
+	a := n.removeQueuedLocked(j, outcomeBusy, "cancelled")
+	n.mu.Unlock()
+	j.complete(a)
+}
+
+// withdraw completes a call that is still queued, so that its node can send it elsewhere or refuse it. It has no effect on a
+// running call.
+func (j *job) withdraw(reason string) {
+	n := j.n
+	n.mu.Lock()
+	if j.done || j.running || j.cancelled {
+		n.mu.Unlock()
+		return
+	}
+	a := n.removeQueuedLocked(j, outcomeUnusable, reason)
+	n.mu.Unlock()
+	j.complete(a)
+}
+
+// removeQueuedLocked removes a queued job and returns its answer.
+func (n *Node) removeQueuedLocked(j *job, o outcome, reason string) answerMessage {
 	j.done = true
 	delete(n.jobs, j.id)
 	n.releaseCapLocked(j)
-	callbacks := n.applyEventsLocked(now, n.queue.Cancel(j.id))
-	a := n.answerLocked(j, outcomeBusy, "cancelled")
-	n.mu.Unlock()
-	runAll(callbacks)
-	j.complete(a)
+	n.queue.Cancel(j.id) // Frees no slot, so that no other call starts.
+	return n.answerLocked(j, o, reason)
 }
 
 // runJob runs a job at the own backend server.
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -19,10 +19,25 @@
 	closeReserve = 800 * time.Millisecond
 	// drainCheckInterval is the period at which a stopping node checks for requests and calls in flight.
 	drainCheckInterval = 20 * time.Millisecond
+	// minWithdrawTime is the least time before the end of a stop at which a waiting call is withdrawn, so that the answer of a
+	// node in another region and the refusal arrive in time.
+	minWithdrawTime = 300 * time.Millisecond
 )
 
+// stopSchedule holds the times of a planned stop.
+type stopSchedule struct {
+	// cutoff is when the last answers must be there.
+	cutoff time.Time
+}
+
+// latestStart returns when a call with a typical run time must start at a backend server so that it ends before the cutoff.
+func (s *stopSchedule) latestStart(typical time.Duration) time.Time {
+	return s.cutoff.Add(-max(minWithdrawTime, runTimeReserve*typical))
+}
+
 // Stop drains the node and stops it. First the readiness endpoint fails, so that callers leave; meanwhile calls of other nodes
-// are accepted if their deadline is early enough. Then requests and calls in flight may finish within the grace period.
+// are accepted if their deadline is early enough. Then requests and calls in flight may finish within the grace period. What
+// still waits for a slot when it could no longer finish is refused as not run.
 func (n *Node) Stop() error {
 	started := n.clock.Now()
 	grace := n.settings.Grace
@@ -33,6 +48,8 @@
 	if !n.stopping.CompareAndSwap(false, true) {
 		return nil
 	}
+	n.stop.Store(&stopSchedule{cutoff: cutoff})
+	close(n.stopStarted)
 	n.callCutoff.Store(&cutoff)
 	n.callers.Drain()
 	n.log.Info("node-stopping", "requests", n.activeRequests.Load(), "grace", grace)
@@ -85,6 +102,39 @@
 	return cutoff != nil && !deadline.After(*cutoff)
 }
 
+// latestStart returns when a request must have started at a backend server because this node stops. It reports false if the node
+// doesn't stop or the request ends before.
+func (n *Node) latestStart(r *request) (time.Time, bool) {
+	stop := n.stop.Load()
+	if stop == nil || !r.deadline.After(stop.cutoff) {
+		return time.Time{}, false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return stop.latestStart(n.chooser.TypicalRunTime(r.route.Name)), true
+}
+
+// withdrawUnfinishable withdraws the queued calls that can't be finished before the node stops.
+func (n *Node) withdrawUnfinishable() {
+	stop := n.stop.Load()
+	if stop == nil {
+		return
+	}
+	now := n.clock.Now()
+	var jobs []*job
+	n.mu.Lock()
+	for _, j := range n.jobs {
+		typical := max(n.queue.MeanRunTime(), n.chooser.TypicalRunTime(j.m.Route))
+		if !j.running && j.deadline.After(stop.cutoff) && !now.Before(stop.latestStart(typical)) {
+			jobs = append(jobs, j)
+		}
+	}
+	n.mu.Unlock()
+	for _, j := range jobs {
+		j.withdraw("stopping")
+	}
+}
+
 // waitUntilIdle waits until nothing is in flight or ctx ends.
 func (n *Node) waitUntilIdle(ctx context.Context) {
 	for ctx.Err() == nil && n.inFlight() > 0 {
--- a/slots/queue.go
+++ b/slots/queue.go
@@ -82,6 +82,11 @@
 	return q.startWaiting()
 }
 
+// MeanRunTime returns the moving average of the run time, or 0 if no call has finished.
+func (q *Queue) MeanRunTime() time.Duration {
+	return time.Duration(q.meanRunTime * float64(time.Second))
+}
+
 // Limit returns the maximum number of running calls.
 func (q *Queue) Limit() int { return q.limit }
 
