Honour a deregistration at a node that does not know the backend server yet

Cause: a deregistration without a start was compared with the backend server that this process of the node had heard of. After a restart there is none, so that it was acknowledged and forgotten. A heartbeat that arrived late then made the backend server serve.

Change: the start is looked up in the node's own row, after its recovery is complete; until then the answer is 503. An id without a record is marked as gone for every start up to now, at another node or in the store, before it is acknowledged. The tracker takes a departure as one of every earlier start of its id. Nodes keep up to four departures for another node, in place of one.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,6 +40,8 @@
 	maxTextBytes = 200
 	// maxSlots bounds the slots that a backend server may announce.
 	maxSlots = 1 << 16
+	// maxPendingDepartures bounds the pending departures of each node.
+	maxPendingDepartures = 4
 )
 
 // Incarnation identifies one process of a backend server.
@@ -88,7 +90,7 @@
 	reported map[string]Node
 	// pendingDepartures holds, by node address, the departures that this node keeps for other nodes, since the store may not
 	// hold them yet.
-	pendingDepartures map[string]Incarnation
+	pendingDepartures map[string][]Incarnation
 	version           uint64
 }
 
@@ -221,18 +223,21 @@
 	return h.Sum32()
 }
 
-// AddPendingDeparture stores the departure of another node's backend server, which may not be in the store yet.
+// AddPendingDeparture stores the departure of another node's backend server, which may not be in the store yet. It keeps the
+// latest maxPendingDepartures of each node.
 func (d *Directory) AddPendingDeparture(address string, b Incarnation) {
 	if d.pendingDepartures == nil {
-		d.pendingDepartures = map[string]Incarnation{}
+		d.pendingDepartures = map[string][]Incarnation{}
 	}
-	if _, known := d.pendingDepartures[address]; known || len(d.pendingDepartures) < maxNodes {
-		d.pendingDepartures[address] = b
+	list, known := d.pendingDepartures[address]
+	if !known && len(d.pendingDepartures) >= maxNodes || slices.Contains(list, b) {
+		return
 	}
+	list = append(list, b)
+	d.pendingDepartures[address] = list[max(0, len(list)-maxPendingDepartures):]
 }
 
-// PendingDeparture returns the pending departure of a node.
-func (d *Directory) PendingDeparture(address string) (Incarnation, bool) {
-	b, ok := d.pendingDepartures[address]
-	return b, ok
+// PendingDepartures returns the pending departures of a node, the most recently added last.
+func (d *Directory) PendingDepartures(address string) []Incarnation {
+	return slices.Clone(d.pendingDepartures[address])
 }
--- a/directory/tracker.go
+++ b/directory/tracker.go
@@ -60,10 +60,11 @@
 	return NoTransition
 }
 
-// MarkLeaving records that an incarnation is leaving and reports whether the state of the current one changed.
+// MarkLeaving records that an incarnation, and so each earlier one with its id, is leaving. It reports whether the state of the
+// current one changed.
 func (t *Tracker) MarkLeaving(b Incarnation) bool {
 	t.addLeaving(b)
-	if b != t.current || t.state == Leaving || t.state == Absent {
+	if !t.isLeaving(t.current) || t.state == Leaving || t.state == Absent {
 		return false
 	}
 	t.state = Leaving
@@ -89,7 +90,7 @@
 
 func (t *Tracker) isLeaving(b Incarnation) bool {
 	for _, known := range t.leaving {
-		if known == b {
+		if known.ID == b.ID && known.StartMillis >= b.StartMillis {
 			return true
 		}
 	}
--- a/directory/tracker_test.go
+++ b/directory/tracker_test.go
@@ -45,6 +45,20 @@
 	require.Equal(t, directory.Leaving, state)
 }
 
+// Guards against a departure without a known start, recorded with a later one, that lets earlier starts of its id serve, hides a
+// later start, or concerns another id.
+func TestTrackerDepartureCoversEarlierStarts(t *testing.T) {
+	var tracker directory.Tracker
+	other := directory.Incarnation{ID: "j", StartMillis: 1}
+	require.Equal(t, directory.BecameServing, tracker.Observe(other, 1, false))
+	require.False(t, tracker.MarkLeaving(start(5)))
+	_, state := tracker.Current()
+	require.Equal(t, directory.Serving, state)
+	require.Equal(t, directory.BecameLeaving, tracker.Observe(start(3), 1, false))
+	require.Equal(t, directory.BecameServing, tracker.Observe(start(6), 1, false))
+	require.True(t, tracker.MarkLeaving(start(7)))
+}
+
 // Guards against an incarnation that serves again after it announced its departure, with announcements in any order.
 func TestTrackerNeverServesAfterLeaving(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -41,7 +41,9 @@
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		return
 	}
-	if !n.applyAnnouncement(a) {
+	recordCtx, cancel := context.WithTimeout(n.group.Context(), departureTimeout)
+	defer cancel()
+	if !n.applyAnnouncement(recordCtx, a) {
 		ctx.Error("the leaving is not on record yet: send it again", fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -49,23 +51,23 @@
 	ctx.SetBodyString("{}")
 }
 
-// applyAnnouncement applies an announcement and reports whether it may be acknowledged.
-func (n *Node) applyAnnouncement(a Announcement) bool {
-	n.mu.Lock()
-	current, _ := n.tracker.Current()
+// applyAnnouncement applies an announcement and reports whether it may be acknowledged. It waits at most until ctx ends.
+func (n *Node) applyAnnouncement(ctx context.Context, a Announcement) bool {
 	if a.Deregistered && a.Backend.StartMillis == 0 {
-		if a.Backend.ID != current.ID {
-			n.mu.Unlock()
-			return true
+		b, known := n.findIncarnation(ctx, a.Backend.ID)
+		if !known {
+			return n.departUnknown(ctx, a.Backend.ID)
 		}
-		a.Backend = current
+		a.Backend = b
 	}
+	n.mu.Lock()
+	current, _ := n.tracker.Current()
 	transition := n.tracker.Observe(a.Backend, a.Sequence, a.Deregistered || a.Leaving)
 	if transition == directory.NoTransition {
 		current, state := n.tracker.Current()
 		recorded := state != directory.Leaving || current != a.Backend || n.recovery.recordedDeparture == current
 		n.mu.Unlock()
-		return recorded || n.recordDeparture(a.Backend)
+		return recorded || n.recordDeparture(ctx, a.Backend, n.writeOwnRow)
 	}
 	n.setBackendLocked(a)
 	peers := n.backendStateChangedLocked()
@@ -74,13 +76,67 @@
 	n.log.Info("backend-server-heard", "id", a.Backend.ID, "born", a.Backend.StartMillis, "sequence", a.Sequence, "gone", a.Deregistered,
 		"leaving", a.Leaving, "serving", transition == directory.BecameServing, "before", current.ID)
 	if transition == directory.BecameLeaving {
-		return n.recordDeparture(a.Backend)
+		return n.recordDeparture(ctx, a.Backend, n.writeOwnRow)
 	}
 	n.transport.Broadcast(n.selfUpdate())
 	n.writeOwnRowAsync()
 	return true
 }
 
+// findIncarnation returns the incarnation of the own backend server with an id. A node that has just started knows it from its row
+// at the earliest, so that it waits until its recovery is complete.
+func (n *Node) findIncarnation(ctx context.Context, id string) (directory.Incarnation, bool) {
+	for {
+		n.mu.Lock()
+		current, _ := n.tracker.Current()
+		row, _ := n.directory.Entry(n.settings.CallsAddress)
+		recovered := n.recovery.done
+		n.mu.Unlock()
+		switch stored := row.Node.Backend; {
+		case current.ID == id:
+			return current, true
+		case stored.ID == id && stored.StartMillis >= current.StartMillis:
+			return stored, true
+		case recovered || ctx.Err() != nil:
+			return directory.Incarnation{}, false
+		}
+		sleep(ctx, recoveryCheckInterval)
+	}
+}
+
+// departUnknown records the departure of a backend server whose start is not known. It holds for each start up to now.
+func (n *Node) departUnknown(ctx context.Context, id string) bool {
+	if !n.isRecovered() {
+		return false
+	}
+	b := directory.Incarnation{ID: id, StartMillis: n.clock.Now().UnixMilli()}
+	n.mu.Lock()
+	n.tracker.MarkLeaving(b)
+	n.mu.Unlock()
+	n.log.Info("unknown-backend-server-gone", "id", id)
+	return n.recordDeparture(ctx, b, func(ctx context.Context) bool { return n.writeDepartedRow(ctx, b) })
+}
+
+// writeDepartedRow writes a row of this node that records a departure, unless it has a row already, and reports whether the store
+// holds it.
+func (n *Node) writeDepartedRow(ctx context.Context, b directory.Incarnation) bool {
+	n.mu.Lock()
+	self := n.selfLocked()
+	_, known := n.directory.Entry(self.Address)
+	n.mu.Unlock()
+	if known || self.State != directory.Absent {
+		return false
+	}
+	self.State, self.Backend = directory.Leaving, b
+	version, err := n.store.Write(ctx, nodesTable, Write{Key: self.Address, Value: encode(self), Expect: kernel.Some[uint64](0)})
+	if err != nil {
+		n.log.Warn("node-not-written", "expected", 0, "error", err)
+		return false
+	}
+	n.mergeRows([]directory.Entry{{Node: self, Version: version}})
+	return true
+}
+
 // selfUpdate returns an encoded gossip message with the directory record of this node.
 func (n *Node) selfUpdate() []byte {
 	n.mu.Lock()
@@ -139,15 +195,13 @@
 	return n.updateCandidatesLocked()
 }
 
-// recordDeparture records that the own backend server is leaving. It reports true once the record is in the store or
+// recordDeparture records that the own backend server is leaving. It reports true once write has put the record into the store or
 // another node keeps it, whichever comes first.
-func (n *Node) recordDeparture(b directory.Incarnation) bool {
-	ctx, cancel := context.WithTimeout(n.group.Context(), departureTimeout)
-	defer cancel()
+func (n *Node) recordDeparture(ctx context.Context, b directory.Incarnation, write func(context.Context) bool) bool {
 	acked := n.replicateDeparture(b)
 	written := make(chan struct{})
 	n.group.Go("record-leaving", func(group context.Context) error {
-		if n.writeOwnRow(group) {
+		if write(group) {
 			close(written)
 		}
 		return nil
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -29,10 +29,10 @@
 		n.recovery.firstPeerAt = n.clock.Now()
 	}
 	n.updateNodeLocked(hello.Node)
-	departed, ok := n.directory.PendingDeparture(hello.Node.Address)
+	departed := n.directory.PendingDepartures(hello.Node.Address)
 	n.mu.Unlock()
-	if ok {
-		reply(encode(gossipMessage{RecordedDeparture: &departure{Address: hello.Node.Address, Backend: departed}}))
+	for _, b := range departed {
+		reply(encode(gossipMessage{RecordedDeparture: &departure{Address: hello.Node.Address, Backend: b}}))
 	}
 	n.pullIfBehind(hello.Versions, reply, 0)
 }
