Close the local connections of a node when it is aborted

What was seen: platform.TestReturnedNodeIsNotRemovedForPastSilence and TestUnreachableNodesAreRemoved failed now and then beside load with "a node is not ready". With the state of each node added to that message, the returned node knew all others and was not ready, though its log said that it had recovered.

Cause: the shutdown of an HTTP server leaves a connection open that is not idle at that moment, and its goroutine serves on once the shutdown has returned. The check of readiness kept its connection to the aborted node and got that node's 503 for ever. Only nodes that are aborted inside a process are concerned: a killed process has no connections.

Change: a node tracks the connections of its announcement, readiness and admin listeners, and closes them at its end.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -101,6 +101,7 @@
 	callers    *intake.Server
 	servers    []*fasthttp.Server
 	listeners  []net.Listener
+	localConns localConns
 	config     atomic.Pointer[routing.Config]
 	stopping   atomic.Bool
 	// stop is set once Stop was called, and stopStarted is closed then.
@@ -255,12 +256,42 @@
 		Handler: handler, Name: "lovagelane", Concurrency: maxLocalConnections, MaxRequestBodySize: maxLocalBodyBytes,
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout, NoDefaultDate: true,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
-		ReduceMemoryUsage: true, Logger: discardLogger{},
+		ReduceMemoryUsage: true, Logger: discardLogger{}, ConnState: n.localConns.observe,
 	}
 	n.servers = append(n.servers, server)
 	n.group.Go(name, func(context.Context) error { return server.Serve(ln) })
 }
 
+// localConns tracks the open connections of the announcement, readiness and admin listeners, since the shutdown of their servers
+// leaves those open that are not idle at that moment. The zero value is ready to use.
+type localConns struct {
+	mu    sync.Mutex
+	conns kernel.Set[net.Conn]
+}
+
+// observe follows the state of a connection.
+func (l *localConns) observe(c net.Conn, state fasthttp.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case fasthttp.StateNew:
+		if l.conns == nil {
+			l.conns = kernel.Set[net.Conn]{}
+		}
+		l.conns[c] = struct{}{}
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		delete(l.conns, c)
+	}
+}
+
+func (l *localConns) closeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		_ = c.Close() // Its server closes it too.
+	}
+}
+
 // discardLogger discards errors of single connections, with which any client could flood the log.
 type discardLogger struct{}
 
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -84,8 +84,9 @@
 	defer cancel()
 	n.callers.Shutdown(ctx)
 	for _, s := range n.servers {
-		_ = s.ShutdownWithContext(ctx) // Connections that are still open are closed with the process.
+		_ = s.ShutdownWithContext(ctx) // Connections that are still open are closed below.
 	}
+	n.localConns.closeAll()
 	// Shutdown does not close the listener of a server that has not begun to serve.
 	for _, ln := range n.listeners {
 		_ = ln.Close() // Most are closed already.
