Skip an answer without an id behind a stray one

Cause: on a new connection an answer without an id was taken also as the second or third answer, behind one that named another request and had been skipped.

Change: only the first answer on a new connection may lack the id.

Evidence: platform.TestLateRefusalIsNotTheNextAnswer writes an earlier refusal once more in ten orders and shapes. Before, one part was red (503 for an order that ran), nine were green; all pass now.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -221,14 +221,14 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	resp.StreamBody, resp.SkipBody = true, h.IsHead()
-	for range maxStrayAnswers + 1 {
+	for skipped := range maxStrayAnswers + 1 {
 		if err := kernel.Protect(func() error { return resp.ReadLimitBody(k.r, 0) }); err != nil {
 			k.close()
 			return readFailure(err)
 		}
 		meta := b.n.deployment.ReadAnswer(&resp.Header)
-		// Only on a new connection can an answer without an id be told from a late one to an earlier request.
-		if meta.ID == j.m.RequestID || meta.ID == "" && !reused {
+		// Only the first answer on a new connection can be told, without an id, from a late one to an earlier request.
+		if meta.ID == j.m.RequestID || meta.ID == "" && !reused && skipped == 0 {
 			if writeErr != nil {
 				resp.SetConnectionClose()
 			}
