--- a/node/stray_test.go
+++ b/node/stray_test.go
@@ -133,6 +133,11 @@
 		"interim heads": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
 		"body to close": {"HTTP/1.1 200 OK\r\n\r\n", "x"},
 		"chunks":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nwhole\r\n"},
+		"chunk size":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", "y"},
+		"trailers":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Many: y\r\n"},
+		"continue":      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"empty lines":   {"", "\r\n"},
+		"long body":     {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, strings.ReplaceAll(chainInventory, "timeout = 5s", "timeout = 1s"), chainRules)
