Let a planned stop wait until callers have read their answers

Cause: a request counted as in flight until its handler returned. The answer is written after that.

Change: the server of callers counts each request until its answer has been written or dropped, and a stop waits for that count.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -227,6 +227,7 @@
 	}
 	k.last = x
 	k.unanswered++
+	k.s.unanswered.Add(1)
 	return true
 }
 
@@ -252,6 +253,7 @@
 	fasthttp.ReleaseResponse(x.Response)
 	k.mu.Lock()
 	k.unanswered--
+	k.s.unanswered.Add(-1)
 	k.mu.Unlock()
 	close(x.sent)
 	<-k.slots
--- a/intake/server.go
+++ b/intake/server.go
@@ -30,11 +30,12 @@
 	// while no request is unanswered.
 	ReadTimeout, IdleTimeout time.Duration
 
-	draining atomic.Bool
-	mu       sync.Mutex
-	closed   bool
-	ln       net.Listener
-	conns    map[*conn]struct{}
+	draining   atomic.Bool
+	unanswered atomic.Int64
+	mu         sync.Mutex
+	closed     bool
+	ln         net.Listener
+	conns      map[*conn]struct{}
 }
 
 // Exchange is one request and its answer.
@@ -122,6 +123,9 @@
 	}
 }
 
+// Unanswered returns the number of requests that were read and whose answer was neither written nor dropped.
+func (s *Server) Unanswered() int { return int(s.unanswered.Load()) }
+
 // Drain makes each connection close with the answer to the last request that was read from it.
 func (s *Server) Drain() { s.draining.Store(true) }
 
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -87,8 +87,6 @@
 
 // handleCaller handles requests of callers and outgoing requests of the own backend server.
 func (n *Node) handleCaller(x *intake.Exchange) {
-	n.activeRequests.Add(1)
-	defer n.activeRequests.Add(-1)
 	r, res := n.matchRequest(x.Request)
 	if cutoff := n.requestCutoff.Load(); res == nil && cutoff != nil && r.deadline.After(*cutoff) {
 		res = refusedResult{reason: "stopping", retryAfter: notReadyRetryAfter}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -110,8 +110,7 @@
 	// requestCutoff is set in the last phase of Stop: requests with a later deadline are refused.
 	requestCutoff atomic.Pointer[time.Time]
 	// callCutoff is set in the first phase of Stop: calls of other nodes are accepted only with an earlier deadline.
-	callCutoff     atomic.Pointer[time.Time]
-	activeRequests atomic.Int64
+	callCutoff atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// configText is the encoded configuration in force, as read from the store. It is sent to other nodes.
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -52,7 +52,7 @@
 	close(n.stopStarted)
 	n.callCutoff.Store(&cutoff)
 	n.callers.Drain()
-	n.log.Info("node-stopping", "requests", n.activeRequests.Load(), "grace", grace)
+	n.log.Info("node-stopping", "requests", n.callers.Unanswered(), "grace", grace)
 	ctx, cancel := context.WithTimeout(n.group.Context(), grace-closeReserve)
 	defer cancel()
 	n.mu.Lock()
@@ -147,9 +147,9 @@
 	}
 }
 
-// inFlight returns the number of requests and calls in flight.
+// inFlight returns the number of requests and calls in flight. A request is in flight until its answer has been written.
 func (n *Node) inFlight() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return int(n.activeRequests.Load()) + len(n.jobs)
+	return n.callers.Unanswered() + len(n.jobs)
 }
