Queue large payloads between nodes without a copy

Cause: the unanswered calls are queued at once on the new connection, which exceeds the bound of queued bytes and closes it, again and again.

Change: payloads above 64 KB are queued by reference and do not count; their calls hold them anyway. They are written in parts of 256 KB, each with its own time limit. The bound still holds for small frames.

--- a/link/conn.go
+++ b/link/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,8 +16,13 @@
 const (
 	// readBuffer is the size of a connection's read buffer, in bytes. It is small because a node has many connections.
 	readBuffer = 4 << 10
-	// maxUnwritten bounds the bytes queued for writing on a connection, which is closed when the receiver reads too slowly.
+	// maxUnwritten bounds the bytes of small frames queued for writing on a connection, which is closed when the receiver reads too
+	// slowly. Large payloads are held by their calls in any case.
 	maxUnwritten = 32 << 20
+	// largePayload is the size above which a payload is queued without a copy. It must not be changed after it was sent.
+	largePayload = 64 << 10
+	// maxWrite bounds the bytes of one write.
+	maxWrite = 256 << 10
 	// writeTimeout bounds one write. A receiver that accepts no bytes for this long counts as unreachable.
 	writeTimeout = 2 * time.Second
 	// UnacknowledgedTimeout is how long sent bytes may stay unacknowledged before the kernel closes the connection, so that
@@ -72,9 +78,12 @@
 	// lastRead is when the last frame was read, in nanoseconds of Transport.uptime.
 	lastRead atomic.Int64
 
-	mu      sync.Mutex
-	wake    *sync.Cond
-	pending []byte
+	mu   sync.Mutex
+	wake *sync.Cond
+	// pending holds the queued bytes in order: copies of small frames and, behind their headers, large payloads. The last slice is
+	// one of copies. copied is the number of copied bytes.
+	pending [][]byte
+	copied  int
 	closed  bool
 }
 
@@ -91,47 +100,67 @@
 	if k.closed {
 		return false
 	}
-	if len(k.pending)+len(f.payload) > maxUnwritten {
+	if k.copied > maxUnwritten {
 		k.closeLocked()
 		return false
 	}
-	k.pending = appendFrame(k.pending, f)
+	if len(k.pending) == 0 {
+		k.pending = append(k.pending, nil)
+	}
+	last := len(k.pending) - 1
+	before := len(k.pending[last])
+	if len(f.payload) > largePayload {
+		k.pending[last] = appendFrameHeader(k.pending[last], f)
+		k.pending = append(k.pending, f.payload, nil)
+	} else {
+		k.pending[last] = appendFrame(k.pending[last], f)
+	}
+	k.copied += len(k.pending[last]) - before
 	k.wake.Signal()
 	return true
 }
 
 // writeLoop writes queued frames until the connection closes.
 func (k *conn) writeLoop() {
-	var spare []byte
+	var spare [][]byte
+	var buffer []byte
 	for {
 		k.mu.Lock()
-		for len(k.pending) == 0 && !k.closed {
+		for k.copied == 0 && !k.closed {
 			k.wake.Wait()
 		}
 		if k.closed {
 			k.mu.Unlock()
 			return
 		}
-		b := k.pending
-		k.pending = spare[:0]
+		queued := k.pending
+		k.pending, k.copied = append(spare[:0], buffer), 0
 		k.mu.Unlock()
-		if err := k.write(b); err != nil {
-			k.close()
-			return
+		for _, b := range queued {
+			if err := k.write(b); err != nil {
+				k.close()
+				return
+			}
 		}
-		spare = b
-		if cap(spare) > 4*readBuffer {
-			spare = nil
+		buffer = queued[0][:0]
+		if cap(buffer) > 4*readBuffer {
+			buffer = nil
 		}
+		clear(queued)
+		spare = queued
 	}
 }
 
 func (k *conn) write(b []byte) error {
-	if err := k.c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	for part := range slices.Chunk(b, maxWrite) {
+		if err := k.c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := k.c.Write(part); err != nil {
+			return err
+		}
 	}
-	_, err := k.c.Write(b)
-	return err
+	return nil
 }
 
 func (k *conn) close() {
--- a/link/frame.go
+++ b/link/frame.go
@@ -50,11 +50,12 @@
 	payload []byte
 }
 
-func appendFrame(b []byte, f frame) []byte {
+func appendFrame(b []byte, f frame) []byte { return append(appendFrameHeader(b, f), f.payload...) }
+
+func appendFrameHeader(b []byte, f frame) []byte {
 	b = binary.BigEndian.AppendUint32(b, uint32(1+8+len(f.payload)))
 	b = append(b, byte(f.kind))
-	b = binary.BigEndian.AppendUint64(b, f.number)
-	return append(b, f.payload...)
+	return binary.BigEndian.AppendUint64(b, f.number)
 }
 
 func readFrame(r *bufio.Reader) (frame, error) {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -343,3 +345,24 @@
 	require.NoError(t, err)
 	return list[0]
 }
+
+// Guards against a connection that is closed again and again because the calls that are resent on it exceed the bound of bytes
+// waiting to be written.
+func TestLargeCallsAreResent(t *testing.T) {
+	receiver, sender := start(t, 1, "127.0.0.1:0"), start(t, 2, "127.0.0.1:0")
+	relay, err := testbed.NewRelay(sender.group, receiver.address)
+	require.NoError(t, err)
+	peer := sender.transport.Peer(relay.Address())
+	body := strings.Repeat("x", 8<<20)
+	var calls []*link.Pending
+	for i := range 6 {
+		calls = append(calls, peer.Call([]byte(fmt.Sprint(i, body))))
+		eventually(t, func() bool { return receiver.runCount(fmt.Sprint(i, body)) == 1 })
+	}
+	relay.Cut()
+	for i, c := range calls {
+		receiver.answer(t, fmt.Sprint(i, body))
+		require.IsType(t, link.Answer{}, result(t, c))
+		require.Equal(t, 1, receiver.runCount(fmt.Sprint(i, body)))
+	}
+}
