Bound the bodies that a node holds with one budget

Cause: bodies of requests had no common bound and were held twice during a call to another node. Answers were bounded at the node beside the backend server only, and held by the node of the caller for as long as that took to read them. Growing answers could each hold a part of the bound and wait for the rest until their deadline.

Change: package memory has one budget, half of memory-mb. A body of a request takes its bytes before it is read; a request whose route had large answers takes room for one before it runs; an answer of the backend server takes its bytes in one step. What finds no room within the time that it may wait is refused with 503 and Retry-After. The time in which a body is read counts against the deadline. A caller that takes less than 64 KB of its answer in 10 s is disconnected.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/kernel"
+	"lovagelane/memory"
 )
 
 const (
@@ -20,6 +21,8 @@
 	initialReadBuffer = 2 << 10
 	// maxJoinedBody is the largest body that is copied behind its header, so that both are sent in one write.
 	maxJoinedBody = 16 << 10
+	// maxWrite bounds the bytes of one write of a body.
+	maxWrite = 64 << 10
 	// lingerTime is how long a connection stays open for reading after its last answer. Closing it while bytes of the caller are
 	// unread would reset it, and the caller could lose the answer.
 	lingerTime = 500 * time.Millisecond
@@ -95,11 +98,15 @@
 			sent: make(chan struct{})}
 		x.Response.Header.SetNoDefaultContentType(true)
 		err := k.read(x)
+		if err != nil {
+			x.body.Release()
+		}
 		if isBroken(err) {
 			k.leave()
 			return
 		}
 		if !k.admit(x) {
+			x.body.Release()
 			return
 		}
 		if err != nil {
@@ -112,6 +119,10 @@
 		x.lastOnConnection = last
 		k.s.Group.Go("request", func(context.Context) error {
 			k.s.Handler(x)
+			if x.body != nil {
+				x.Request.ResetBody()
+				x.body.Release()
+			}
 			k.answer(x)
 			return nil
 		})
@@ -187,15 +198,45 @@
 		if err != nil {
 			return err
 		}
+		headRead := time.Now()
+		defer func() { x.ReadTime = time.Since(headRead) }()
+		if err := k.reserveBody(x); err != nil {
+			return err
+		}
 		if x.Request.MayContinue() {
 			if err := k.writeContinue(); err != nil {
 				return err
 			}
 		}
-		return x.Request.ContinueReadBody(k.r, k.s.MaxBodyBytes, false)
+		if err := x.Request.ContinueReadBody(k.r, k.s.MaxBodyBytes, false); err != nil {
+			return err
+		}
+		if size := len(x.Request.Body()); size > memory.FreeBytes {
+			// The body must not go back to the pool of buffers: a call that was given up may still be sending it.
+			x.Request.SetBodyRaw(x.Request.SwapBody(nil))
+			x.body.Shrink(int64(size))
+		}
+		return nil
 	})
 }
 
+// reserveBody reserves memory for the body of a request, and then allows the whole time to read it.
+func (k *conn) reserveBody(x *Exchange) error {
+	size := int64(x.Request.Header.ContentLength())
+	if size == -1 {
+		size = int64(k.s.MaxBodyBytes)
+	}
+	if k.s.ReserveBody == nil || size <= memory.FreeBytes || size > int64(k.s.MaxBodyBytes) {
+		return nil
+	}
+	r, ok := k.s.ReserveBody(&x.Request.Header, size)
+	if !ok {
+		return ErrNoMemory
+	}
+	x.body = r
+	return k.c.SetReadDeadline(time.Now().Add(k.s.ReadTimeout))
+}
+
 // growReader replaces the read buffer by one of MaxHeaderBytes and keeps the buffered bytes.
 func (k *conn) growReader() {
 	buffered, _ := k.r.Peek(k.r.Buffered()) // Peeking at buffered bytes can't fail.
@@ -249,6 +290,7 @@
 	if !dropped {
 		k.write(x)
 	}
+	x.answer.Release()
 	fasthttp.ReleaseRequest(x.Request)
 	fasthttp.ReleaseResponse(x.Response)
 	k.mu.Lock()
@@ -280,8 +322,7 @@
 	if len(body) <= maxJoinedBody {
 		_, err = k.c.Write(append(head, body...))
 	} else {
-		buffers := net.Buffers{head, body}
-		_, err = buffers.WriteTo(k.c)
+		err = k.writeLarge(head, body)
 	}
 	switch {
 	case err != nil:
@@ -291,6 +332,31 @@
 	}
 }
 
+// writeLarge sends an answer in parts and allows WriteTimeout for each. The parts bound how long a caller that reads nothing, or
+// very slowly, holds the memory of its answer.
+func (k *conn) writeLarge(head, body []byte) error {
+	defer func() { _ = k.c.SetWriteDeadline(time.Time{}) }()
+	for written := 0; written < len(body); {
+		if k.s.WriteTimeout > 0 {
+			if err := k.c.SetWriteDeadline(time.Now().Add(k.s.WriteTimeout)); err != nil {
+				return err
+			}
+		}
+		part := body[written:min(written+maxWrite, len(body))]
+		buffers := net.Buffers{head, part}
+		if _, err := buffers.WriteTo(k.c); err != nil {
+			var timeout net.Error
+			if errors.As(err, &timeout) && timeout.Timeout() && k.s.Slow != nil {
+				k.s.Slow(len(body) - written)
+			}
+			return err
+		}
+		head = nil
+		written += len(part)
+	}
+	return nil
+}
+
 // closeWrite sends the end of the stream behind the last answer.
 func (k *conn) closeWrite() {
 	if tcp, ok := k.c.(*net.TCPConn); ok {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -20,6 +20,7 @@
 
 	"lovagelane/intake"
 	"lovagelane/kernel"
+	"lovagelane/memory"
 )
 
 func TestMain(m *testing.M) {
@@ -370,3 +371,57 @@
 		require.False(t, errors.As(err, &timeout) && timeout.Timeout(), "the connection stays open")
 	})
 }
+
+// Guards against a body that is read without memory for it, memory that is not released, and a refusal that does not reach its
+// caller or leaves the unread body on the connection as the next request.
+func TestBodyWithoutMemoryIsRefused(t *testing.T) {
+	f, stop := start(t, 4)
+	defer stop()
+	budget := memory.New(1 << 20)
+	f.ReserveBody = func(_ *fasthttp.RequestHeader, size int64) (*memory.Reservation, bool) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		return budget.Reserve(ctx, memory.Requests, 0, size)
+	}
+	f.Unreadable = func(resp *fasthttp.Response, err error) {
+		require.ErrorIs(t, err, intake.ErrNoMemory)
+		resp.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	for _, tc := range []struct{ size, status int }{{500 << 10, fasthttp.StatusOK}, {900 << 10, fasthttp.StatusServiceUnavailable}} {
+		c, err := net.Dial("tcp", f.address)
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(c, "POST /large HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", tc.size)
+		require.NoError(t, err)
+		smuggled := bytes.Repeat([]byte("GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n"), tc.size)
+		_, _ = c.Write(smuggled[:tc.size]) // It may be refused meanwhile.
+		var resp fasthttp.Response
+		require.NoError(t, resp.Read(bufio.NewReader(c)))
+		require.Equal(t, tc.status, resp.StatusCode())
+		require.Equal(t, tc.status != fasthttp.StatusOK, resp.ConnectionClose())
+		require.NoError(t, c.Close())
+	}
+	require.Eventually(t, func() bool { return budget.Used(memory.Requests) == 0 }, waitTimeout, time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	require.Equal(t, []string{"/large"}, f.started)
+}
+
+// Guards against a caller that never reads its answer and so keeps its memory for ever.
+func TestCallerThatDoesNotReadIsDisconnected(t *testing.T) {
+	f, stop := start(t, 4)
+	defer stop()
+	const size = 16 << 20
+	slow := make(chan int, 1)
+	f.WriteTimeout, f.Slow = 200*time.Millisecond, func(unwritten int) { slow <- unwritten }
+	f.Handler = func(x *intake.Exchange) { x.Response.SetBodyRaw(make([]byte, size)) }
+	c, err := net.Dial("tcp", f.address)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, c.Close()) }()
+	_, err = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return f.Unanswered() == 1 }, waitTimeout, time.Millisecond)
+	unwritten := <-slow
+	require.Positive(t, unwritten)
+	require.Less(t, unwritten, size)
+	require.Eventually(t, func() bool { return f.Unanswered() == 0 }, waitTimeout, time.Millisecond)
+}
--- a/intake/server.go
+++ b/intake/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/kernel"
+	"lovagelane/memory"
 )
 
 // Server serves connections of callers. Set its fields before Serve; all are required except those that say otherwise.
@@ -18,6 +20,10 @@
 	Handler func(x *Exchange)
 	// Unreadable writes the answer to bytes that can't be read as a request.
 	Unreadable func(resp *fasthttp.Response, err error)
+	// ReserveBody, if set, reserves memory for a body of more than memory.FreeBytes before it is read, and may wait for it meanwhile.
+	// For a body in chunks, size is the largest one. If it reports false, the request is answered by Unreadable with ErrNoMemory and
+	// its connection is closed.
+	ReserveBody func(h *fasthttp.RequestHeader, size int64) (*memory.Reservation, bool)
 	// Group runs the goroutines of connections and requests.
 	Group *kernel.Group
 	// MaxConnections limits the open connections. A connection beyond it is answered with status 503 and closed.
@@ -29,6 +35,10 @@
 	// ReadTimeout limits the time from the first byte of a request to its last one, and IdleTimeout the time without any byte
 	// while no request is unanswered.
 	ReadTimeout, IdleTimeout time.Duration
+	// WriteTimeout limits the time in which a caller takes 64 KB of an answer. Slow is called with the number of unwritten bytes when
+	// it has passed and the connection is closed. Zero means no limit.
+	WriteTimeout time.Duration
+	Slow         func(unwritten int)
 
 	draining   atomic.Bool
 	unanswered atomic.Int64
@@ -44,6 +54,8 @@
 	Response *fasthttp.Response
 	// Gone is closed when the caller has closed the connection.
 	Gone <-chan struct{}
+	// ReadTime is the time from the end of the head to the end of the body.
+	ReadTime time.Duration
 
 	conn *conn
 	// previousSent is closed when the answer to the previous request of the connection was sent, or nil for the first one.
@@ -52,8 +64,16 @@
 	sent chan struct{}
 	// lastOnConnection is set when the request or its answer closes the connection.
 	lastOnConnection bool
+	// body is the memory reserved for the body, and answer that for the answer.
+	body, answer *memory.Reservation
 }
 
+// ErrNoMemory reports that a request was not read because there is no memory for its body.
+var ErrNoMemory = errors.New("no memory for the body of the request")
+
+// HoldAnswer passes the memory reserved for the answer to the Exchange, which releases it when the answer was written or dropped.
+func (x *Exchange) HoldAnswer(r *memory.Reservation) { x.answer = r }
+
 // AwaitTurn waits until all earlier requests of the connection are answered. It reports false if the connection was closed
 // before, by the caller or by the answer to an earlier request; the caller then takes this request as not read, so that it
 // must not run. A handler calls it before it runs a request that must run at most once.
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -10,12 +10,12 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/semaphore"
 
 	"lovagelane/directory"
 	"lovagelane/disconnect"
 	"lovagelane/kernel"
 	"lovagelane/link"
+	"lovagelane/memory"
 )
 
 const (
@@ -28,14 +28,13 @@
 	// nonIdempotentIdleTimeout is how long a connection may be idle before a non-idempotent call uses it. If the backend
 	// server has closed the connection meanwhile, the node cannot tell whether the call has run, and must not resend it.
 	nonIdempotentIdleTimeout = 500 * time.Millisecond
-	// freeBodyBytes is the size up to which the body of an answer takes nothing from the memory budget of bodies.
-	freeBodyBytes = 64 << 10
 	// initialBodyBytes is the first size of the buffer for a body whose length is not known.
 	initialBodyBytes = 4 << 10
-	// bodyMemoryShare is the share of the memory limit that bodies of answers may take, and defaultBodyMemory that memory without
-	// a limit. A body is held up to three times: as read, in the message to the calling node, and until that node confirms it.
-	bodyMemoryShare   = 8
-	defaultBodyMemory = 64 << 20
+	// answerCopies is how often the body of an answer to another node is held at most: as read, in the message to that node, and until
+	// it confirms it.
+	answerCopies = 3
+	// growthCopies is how often a body is held while the buffer that it is read into grows.
+	growthCopies = 2
 	// maxStrayAnswers is the number of answers to other requests that are skipped during one exchange.
 	maxStrayAnswers = 2
 	// crashCheckDelay is the delay between a lost connection and the check whether the backend server has crashed.
@@ -46,8 +45,6 @@
 type backend struct {
 	n       *Node
 	address string
-	// bodyMemory is the memory budget of the bodies of answers.
-	bodyMemory *semaphore.Weighted
 
 	mu   sync.Mutex
 	idle []*backendConn
@@ -80,8 +77,8 @@
 	status  int
 	head    []byte
 	body    []byte
-	// reserved is what the body takes from the memory budget of bodies.
-	reserved int64
+	// reserved is the memory reserved for the body.
+	reserved *memory.Reservation
 	// connectionLost is set when the connection broke while the call may have been running.
 	connectionLost bool
 	// crashed is set when the backend server crashed during the call.
@@ -91,11 +88,7 @@
 }
 
 func newBackend(n *Node, address string) *backend {
-	memory := int64(defaultBodyMemory)
-	if n.settings.MemoryMB > 0 {
-		memory = max(int64(n.settings.MemoryMB)<<20/bodyMemoryShare, maxBodyBytes+1)
-	}
-	return &backend{n: n, address: address, bodyMemory: semaphore.NewWeighted(memory)}
+	return &backend{n: n, address: address}
 }
 
 // acquire returns an idle connection that may be reused and was idle for less than maxIdle, or opens one. It reports whether
@@ -215,9 +208,8 @@
 		k.close()
 		return exchangeResult{outcome: outcomeLost, reason: "connection-closed", connectionLost: true}
 	}
-	request := append(h.Header(), j.m.Body...)
 	// A backend server may answer and close before it has read the whole body. Its answer is valid despite the write error.
-	_, writeErr := k.c.Write(request)
+	writeErr := k.writeRequest(h.Header(), j.m.Body)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	resp.StreamBody, resp.SkipBody = true, h.IsHead()
@@ -245,6 +237,17 @@
 	return exchangeResult{outcome: outcomeLost, reason: "stray-answers"}
 }
 
+// writeRequest writes a request, and a large body without copying it.
+func (k *backendConn) writeRequest(head, body []byte) error {
+	if len(body) <= memory.FreeBytes {
+		_, err := k.c.Write(append(head, body...))
+		return err
+	}
+	buffers := net.Buffers{head, body}
+	_, err := buffers.WriteTo(k.c)
+	return err
+}
+
 // discardBody reads the body of an answer that is not used.
 func discardBody(resp *fasthttp.Response) error {
 	stream := resp.BodyStream()
@@ -261,28 +264,35 @@
 	return resp.CloseBodyStream()
 }
 
-// readBody reads the body of an answer and returns it with what it takes from the memory budget. It waits for that memory at
-// most until the deadline. The memory follows what has arrived, not the length that the answer states.
-func (b *backend) readBody(resp *fasthttp.Response, deadline time.Time) (body []byte, reserved int64, err error) {
+// readBody reads the body of an answer and returns it with the memory reserved for it. It waits for that memory at most until the
+// deadline of the job. The buffer follows what has arrived, not the length that the answer states.
+func (b *backend) readBody(j *job, resp *fasthttp.Response) (body []byte, reserved *memory.Reservation, err error) {
 	stream, length := resp.BodyStream(), resp.Header.ContentLength()
+	kept, largest := int64(1), maxBodyBytes
+	if j.remote {
+		kept = answerCopies
+	}
+	if length >= 0 {
+		largest = length
+	}
 	switch {
 	case stream == nil:
-		return nil, 0, nil
+		return nil, nil, nil
 	case length > maxBodyBytes:
-		return nil, 0, errAnswerTooLarge
+		return nil, nil, errAnswerTooLarge
 	case length < 0:
 		body = make([]byte, 0, initialBodyBytes)
 	default:
-		body = make([]byte, 0, min(length+1, freeBodyBytes))
+		body = make([]byte, 0, min(length+1, memory.FreeBytes))
 	}
 	for {
 		if len(body) == cap(body) {
-			size := min(2*cap(body), maxBodyBytes+1)
-			if size > freeBodyBytes {
-				if err := b.reserve(int64(size)-reserved, deadline); err != nil {
-					return nil, reserved, err
+			size := min(2*cap(body), largest+1)
+			if size > memory.FreeBytes && reserved == nil {
+				// In one step: answers that wait for more while they hold a part would wait for each other.
+				if reserved, err = b.reserve(max(kept, growthCopies)*int64(largest+1), j.deadline.Add(answerMargin)); err != nil {
+					return nil, nil, err
 				}
-				reserved = int64(size)
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
@@ -291,6 +301,7 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			resp.Header.SetContentLength(len(body))
+			reserved.Shrink(kept * int64(len(body)))
 			return body, reserved, resp.CloseBodyStream()
 		case err != nil:
 			return nil, reserved, err
@@ -300,18 +311,16 @@
 	}
 }
 
-// reserve takes memory for a body from the budget.
-func (b *backend) reserve(size int64, deadline time.Time) error {
-	if b.bodyMemory.TryAcquire(size) {
-		return nil
-	}
-	b.n.metrics.Add("body-memory-waits", 1)
+// reserve reserves memory for the body of an answer.
+func (b *backend) reserve(size int64, deadline time.Time) (*memory.Reservation, error) {
 	ctx, cancel := context.WithDeadline(b.n.group.Context(), deadline)
 	defer cancel()
-	if err := b.bodyMemory.Acquire(ctx, size); err != nil {
-		return answerError("no-memory-for-answer")
+	r, ok := b.n.memory.Reserve(ctx, memory.Answers, 0, size)
+	if !ok {
+		b.n.metrics.Add("memory-refusals", 1, memory.Answers.String())
+		return nil, answerError("no-memory-for-answer")
 	}
-	return nil
+	return r, nil
 }
 
 func readFailure(err error) exchangeResult {
@@ -345,10 +354,10 @@
 		}
 		return exchangeResult{outcome: outcomeRejected, reason: "backend-server", status: resp.StatusCode()}
 	}
-	body, reserved, err := b.readBody(resp, j.deadline.Add(answerMargin))
+	body, reserved, err := b.readBody(j, resp)
 	if err != nil {
 		k.close()
-		b.bodyMemory.Release(reserved)
+		reserved.Release()
 		return readFailure(err)
 	}
 	b.release(k, resp, meta)
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -12,6 +12,7 @@
 	"lovagelane/call"
 	"lovagelane/intake"
 	"lovagelane/kernel"
+	"lovagelane/memory"
 	"lovagelane/routing"
 )
 
@@ -52,6 +53,8 @@
 	// queued.
 	excluded    kernel.Set[string]
 	offeredWait map[string]time.Duration
+	// delivery is the memory reserved for the answer.
+	delivery *memory.Reservation
 	// mayHaveRun is set once a backend server's answer was lost.
 	mayHaveRun bool
 	// capped is set once a node refused the request because of the cap of its route.
@@ -87,22 +90,27 @@
 
 // handleCaller handles requests of callers and outgoing requests of the own backend server.
 func (n *Node) handleCaller(x *intake.Exchange) {
-	r, res := n.matchRequest(x.Request)
+	r, res := n.matchRequest(x.Request, x.ReadTime)
 	if cutoff := n.requestCutoff.Load(); res == nil && cutoff != nil && r.deadline.After(*cutoff) {
 		res = refusedResult{reason: "stopping", retryAfter: notReadyRetryAfter}
 	}
 	if res == nil && !r.route.Idempotent && !x.AwaitTurn() {
 		return
 	}
+	if len(r.body) > memory.FreeBytes {
+		x.Request.ResetBody() // The request holds the body, and may replace it.
+	}
 	if res == nil {
 		r.callerGone = x.Gone
 		res = n.forward(r)
+		n.holdDelivery(x, r, res)
 	}
 	n.writeResult(x, r, res)
 }
 
-// matchRequest validates a request and matches it to a route. It returns a result if the request cannot be forwarded.
-func (n *Node) matchRequest(req *fasthttp.Request) (*request, result) {
+// matchRequest validates a request and matches it to a route. It returns a result if the request cannot be forwarded. The time in
+// which its body was read counts against its deadline.
+func (n *Node) matchRequest(req *fasthttp.Request, readTime time.Duration) (*request, result) {
 	now := n.clock.Now()
 	h := &req.Header
 	meta := n.deployment.ReadRequest(h)
@@ -114,8 +122,7 @@
 	if len(r.id) > maxIDBytes {
 		return r, unroutableResult{status: fasthttp.StatusBadRequest, reason: "long-id"}
 	}
-	path, _, _ := strings.Cut(string(h.RequestURI()), "?")
-	route, ok := cfg.Match(string(h.Host()), path)
+	route, remaining, ok := findRoute(cfg, h, meta.Remaining)
 	if !ok {
 		return r, unroutableResult{status: fasthttp.StatusNotFound, reason: "no-route"}
 	}
@@ -124,13 +131,7 @@
 	if limit := cfg.Limits().BodyBytes; limit > 0 && int64(len(r.body)) > limit {
 		return r, unroutableResult{status: fasthttp.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
-	remaining := defaultTimeout
-	if meta.Remaining > 0 {
-		remaining = min(meta.Remaining, maxRequestTime)
-	}
-	if route.Timeout > 0 {
-		remaining = min(remaining, route.Timeout)
-	}
+	remaining = max(remaining-readTime, 0)
 	r.deadline = now.Add(remaining)
 	r.digest = call.Digest(string(h.Method()), string(h.Host())+string(h.RequestURI()), r.body)
 	r.head = requestHead(h, len(r.body))
@@ -138,6 +139,23 @@
 	return r, nil
 }
 
+// findRoute returns the route of a request and the time that it has, of which its caller states the given one, or 0 for none.
+func findRoute(cfg *routing.Config, h *fasthttp.RequestHeader, stated time.Duration) (*routing.Route, time.Duration, bool) {
+	path, _, _ := strings.Cut(string(h.RequestURI()), "?")
+	route, ok := cfg.Match(string(h.Host()), path)
+	if !ok {
+		return nil, 0, false
+	}
+	remaining := defaultTimeout
+	if stated > 0 {
+		remaining = min(stated, maxRequestTime)
+	}
+	if route.Timeout > 0 {
+		remaining = min(remaining, route.Timeout)
+	}
+	return route, remaining, true
+}
+
 // planRequest selects the service by the weights of the route and sets how long the request may wait for a slot.
 func (n *Node) planRequest(now time.Time, r *request, remaining time.Duration) {
 	n.mu.Lock()
@@ -177,7 +195,7 @@
 	case refusedResult:
 		retryAfter := max(res.retryAfter, minRetryAfter)
 		writeError(x.Response, fasthttp.StatusServiceUnavailable, res.reason)
-		x.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		x.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterValue(retryAfter))
 		n.logOutcome("request-refused", r, fasthttp.StatusServiceUnavailable, res.reason, "retry-after", retryAfter)
 	case failedResult:
 		status := fasthttp.StatusBadGateway
@@ -193,6 +211,9 @@
 	}
 }
 
+// retryAfterValue returns the value of a Retry-After header.
+func retryAfterValue(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) }
+
 // writeError writes an answer of the node itself.
 func writeError(resp *fasthttp.Response, status int, text string) {
 	resp.Reset()
@@ -239,6 +260,10 @@
 	var timeout net.Error
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	switch {
+	case errors.Is(err, intake.ErrNoMemory):
+		writeError(resp, fasthttp.StatusServiceUnavailable, "no-memory")
+		resp.Header.Set(fasthttp.HeaderRetryAfter, retryAfterValue(notReadyRetryAfter))
+		return
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status = fasthttp.StatusRequestTimeout
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -1,12 +1,14 @@
 package mesh
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/dispatch"
 	"lovagelane/link"
+	"lovagelane/memory"
 )
 
 const (
@@ -24,6 +26,9 @@
 	if n.isQuarantined(r.digest) {
 		return refusedResult{reason: "quarantined", retryAfter: defaultTimeout}
 	}
+	if !n.reserveDelivery(r) {
+		return refusedResult{reason: "no-memory", retryAfter: noBackendRetryAfter}
+	}
 	for r.nodesTried < maxNodesTried {
 		now := n.clock.Now()
 		if !now.Before(r.deadline) {
@@ -166,6 +171,7 @@
 	switch a.Outcome {
 	case outcomeAnswered:
 		r.sent++
+		n.recordAnswerSizeLocked(r.route.Name, int64(len(a.Body)))
 		n.chooser.RecordRoundTrip(address, took-time.Duration(a.WaitedMicros+a.RanMicros)*time.Microsecond)
 		o = dispatch.Answered{Route: r.route.Name, RunTime: time.Duration(a.RanMicros) * time.Microsecond,
 			Bytes: len(r.head) + len(r.body) + len(a.Head) + len(a.Body)}
@@ -201,7 +207,11 @@
 	if choice.Address == n.settings.CallsAddress {
 		return n.attemptLocal(m, r.callerGone, timer.C)
 	}
-	p := n.transport.Peer(choice.Address).Call(encode(m))
+	payload := encode(m)
+	if tail := payload[max(len(payload)-len(r.body), 0):]; len(r.body) > memory.FreeBytes && bytes.Equal(tail, r.body) {
+		r.body, m.Body = tail, nil // One copy of a large body is enough. The encoding ends with it.
+	}
+	p := n.transport.Peer(choice.Address).Call(payload)
 	stalled, stopStarted := p.Stalled, n.stopStarted
 	var withdraw <-chan time.Time
 	for {
--- /dev/null
+++ b/mesh/memory.go
@@ -0,0 +1,132 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lovagelane/intake"
+	"lovagelane/memory"
+)
+
+const (
+	// memoryShare is the share of the memory limit that may be held for peers. The rest is for the program, and for what the garbage
+	// collector has not freed yet.
+	memoryShare = 0.5
+	// defaultMemory is what may be held for peers without a memory limit, and minMemory what may be held in any case: a body of
+	// maxBodyBytes must fit into the share of each kind.
+	defaultMemory = 256 << 20
+	minMemory     = (answerCopies + 1) * maxBodyBytes
+	// callerWriteTimeout is how long a caller may take to read 64 KB of its answer.
+	callerWriteTimeout = 10 * time.Second
+	// maxAnswerSizes bounds the routes whose answer size is stored.
+	maxAnswerSizes = 4096
+	// answerSizeDecay is the part by which the stored size falls with each smaller answer.
+	answerSizeDecay = 16
+)
+
+// memoryLimit returns the bytes that a node may hold for its peers.
+func memoryLimit(memoryMB int) int64 {
+	if memoryMB == 0 {
+		return defaultMemory
+	}
+	return max(int64(memoryShare*float64(memoryMB)*(1<<20)), minMemory)
+}
+
+// reserveBody reserves memory for the body of a request of a caller, and waits for it no longer than the request may wait for a slot
+// and half of its time. Meanwhile the body is not read, so that its caller is held back.
+func (n *Node) reserveBody(h *fasthttp.RequestHeader, size int64) (*memory.Reservation, bool) {
+	r := &request{id: n.deployment.ReadRequest(h).ID, arrived: n.clock.Now()}
+	rank, wait := 0, time.Duration(0)
+	if cfg := n.config.Load(); cfg != nil {
+		if route, remaining, ok := findRoute(cfg, h, n.deployment.ReadRequest(h).Remaining); ok {
+			r.route, rank = route, route.Rank
+			r.deadline = r.arrived.Add(remaining)
+			wait = min(maxQueueWait(route, remaining, 0, cfg.LeastImportantRank()), remaining/2)
+		}
+	}
+	ctx, cancel := context.WithTimeout(n.group.Context(), wait)
+	defer cancel()
+	reserved, ok := n.memory.Reserve(ctx, memory.Requests, rank, size)
+	if !ok {
+		n.metrics.Add("memory-refusals", 1, memory.Requests.String())
+		n.logOutcome("request-refused", r, fasthttp.StatusServiceUnavailable, "no-memory", "bytes", size)
+	}
+	return reserved, ok
+}
+
+// reserveDelivery reserves memory for the answer to a request if recent answers of its route were large, before the request runs. It
+// reports false if there is none for as long as the request may wait.
+func (n *Node) reserveDelivery(r *request) bool {
+	n.mu.Lock()
+	size := int64(0)
+	if stored := n.answerSizes.Get(r.route.Name); stored != nil {
+		size = *stored
+	}
+	n.mu.Unlock()
+	if size <= memory.FreeBytes {
+		return true
+	}
+	now := n.clock.Now()
+	wait := r.maxWait
+	if latest, stopping := n.latestStart(r); stopping {
+		wait = min(wait, latest.Sub(now))
+	}
+	ctx, cancel := context.WithTimeout(n.group.Context(), wait)
+	defer cancel()
+	delivery, ok := n.memory.Reserve(ctx, memory.Deliveries, r.route.Rank, size)
+	r.delivery = delivery
+	r.waited += n.clock.Now().Sub(now)
+	if !ok {
+		n.metrics.Add("memory-refusals", 1, memory.Deliveries.String())
+	}
+	return ok
+}
+
+// holdDelivery passes the memory reserved for an answer on to the connection of the caller, until the answer has been read.
+func (n *Node) holdDelivery(x *intake.Exchange, r *request, res result) {
+	served, ok := res.(servedResult)
+	if !ok {
+		r.delivery.Release()
+		return
+	}
+	size := int64(len(served.answer.Body))
+	ctx, cancel := context.WithCancel(n.group.Context())
+	cancel() // The answer has been read already, so that there is nothing to wait for.
+	switch {
+	case r.delivery == nil:
+		r.delivery, _ = n.memory.Reserve(ctx, memory.Deliveries, r.route.Rank, size)
+	case r.delivery.Size() < size:
+		r.delivery.Grow(ctx, size)
+	default:
+		r.delivery.Shrink(size)
+	}
+	x.HoldAnswer(r.delivery)
+}
+
+// recordAnswerSizeLocked records the size of an answer. The stored size of a route follows larger answers at once and smaller ones
+// slowly.
+func (n *Node) recordAnswerSizeLocked(route string, size int64) {
+	stored := n.answerSizes.Get(route)
+	switch {
+	case stored != nil:
+		*stored = max(size, *stored-*stored/answerSizeDecay)
+	case size > memory.FreeBytes:
+		*n.answerSizes.GetOrAdd(route) = size
+	}
+}
+
+// handleSlowCaller logs a caller that was disconnected because it did not read its answer.
+func (n *Node) handleSlowCaller(unwritten int) {
+	n.metrics.Add("slow-callers", 1)
+	n.log.Warn("caller-too-slow", "unwritten", unwritten, "limit", callerWriteTimeout)
+}
+
+// reportMemory updates the gauges of the memory that is held for peers.
+func (n *Node) reportMemory() {
+	for _, kind := range []memory.Kind{memory.Requests, memory.Deliveries, memory.Answers} {
+		n.metrics.Set("held-bytes", n.memory.Used(kind), kind.String())
+	}
+	n.metrics.Set("memory-waits", int64(n.memory.Waiting()))
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -22,6 +22,7 @@
 	"lovagelane/intake"
 	"lovagelane/kernel"
 	"lovagelane/link"
+	"lovagelane/memory"
 	"lovagelane/quarantine"
 	"lovagelane/retry"
 	"lovagelane/routing"
@@ -96,6 +97,7 @@
 	store      Store
 	group      *kernel.Group
 	pool       *kernel.Pool
+	memory     *memory.Budget
 	transport  *link.Transport
 	backend    *backend
 	callers    *intake.Server
@@ -128,6 +130,8 @@
 	recovery     recovery
 	// configLag and directoryLag record how long this node has been behind another one.
 	configLag, directoryLag lag
+	// answerSizes holds, by route, the size of its recent large answers.
+	answerSizes *kernel.LRU[string, int64]
 	// malformedRows holds, by key, one more than the version of the last malformed row of the table of nodes that was logged.
 	malformedRows *kernel.LRU[string, uint64]
 	// departureAcks has a channel for each departure of the own backend server that was sent to other nodes; the channel is
@@ -188,12 +192,15 @@
 	n.service = o.Settings.Service
 	n.retryBudgets = retry.WindowBudgets{Ratio: o.Settings.RepeatRatio, Fixed: float64(o.Settings.RepeatsAllowed),
 		Length: o.Settings.RepeatWindow}
+	n.memory = memory.New(memoryLimit(o.Settings.MemoryMB))
+	n.answerSizes = kernel.NewLRU[string, int64](maxAnswerSizes)
 	n.backend = newBackend(n, o.Settings.BackendServer)
 	n.group = kernel.NewGroup(ctx)
 	n.pool = kernel.NewPool(maxWorkers, maxQueuedRuns)
-	n.callers = &intake.Server{Handler: n.handleCaller, Unreadable: n.handleUnreadable, Group: n.group,
+	n.callers = &intake.Server{Handler: n.handleCaller, Unreadable: n.handleUnreadable, ReserveBody: n.reserveBody, Group: n.group,
 		MaxConnections: maxCallerConnections, MaxPipelined: cmp.Or(o.Settings.PipelinedRequests, defaultPipelined),
-		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout}
+		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout,
+		WriteTimeout: callerWriteTimeout, Slow: n.handleSlowCaller}
 	n.transport = &link.Transport{Clock: n.clock, Log: n.log, Handler: n, Incarnation: random}
 	n.recovery.started = n.clock.Now()
 	return n, nil
@@ -310,6 +317,7 @@
 		n.withdrawUnfinishable()
 		if count%idleTrimTicks == 0 {
 			n.backend.closeExpired(n.clock.Now())
+			n.reportMemory()
 		}
 	}
 }
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -46,6 +46,7 @@
 		c.Answer(encode(answerMessage{Outcome: outcomeUnusable, Reason: "call-malformed"}))
 		return
 	}
+	c.Payload = nil // The message has its own copies.
 	if !m.Idempotent {
 		c.KeepRunning()
 	}
@@ -282,5 +283,5 @@
 	}
 	runAll(callbacks)
 	j.complete(a)
-	n.backend.bodyMemory.Release(x.reserved)
+	x.reserved.Release()
 }
