Do not run a request whose caller left while it waited for memory

Read while going over the change, not seen in a run: after its wait for room a request was sent to its backend server before the node looked whether the caller was still there. The cancellation that follows at once caught it in each try: platform.TestCallerThatLeavesWhileWaitingForMemory passes with and without the change.

--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -57,7 +57,7 @@
 }
 
 // reserveDelivery reserves memory for the answer to a request if recent answers of its route were large, before the request runs. It
-// reports false if there is none for as long as the request may wait.
+// reports false if there is none for as long as the request may wait, or if the caller has left meanwhile.
 func (n *Node) reserveDelivery(r *request) bool {
 	n.mu.Lock()
 	size := int64(0)
@@ -80,8 +80,14 @@
 	r.waited += n.clock.Now().Sub(now)
 	if !ok {
 		n.metrics.Add("memory-refusals", 1, memory.Deliveries.String())
+		return false
+	}
+	select {
+	case <-r.callerGone:
+		return false // It left during the wait, and the request must not run.
+	default:
+		return true
 	}
-	return ok
 }
 
 // holdDelivery passes the memory reserved for an answer on to the connection of the caller, until the answer has been read.
