--- a/intake/server.go
+++ b/intake/server.go
@@ -35,8 +35,8 @@
 	// ReadTimeout limits the time from the first byte of a request to its last one, and IdleTimeout the time without any byte
 	// while no request is unanswered.
 	ReadTimeout, IdleTimeout time.Duration
-	// WriteTimeout limits the time in which a caller takes 64 KB of an answer. Slow is called with the number of unwritten bytes when
-	// it has passed and the connection is closed. Zero means no limit.
+	// WriteTimeout limits the time in which a caller takes 64 KB of an answer; zero means no limit. Slow, if set, is called with the
+	// number of unwritten bytes before the connection is closed for it.
 	WriteTimeout time.Duration
 	Slow         func(unwritten int)
 
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -19,7 +19,7 @@
 	Requests Kind = iota
 	// Deliveries are answers that callers have not read yet, or room for them.
 	Deliveries
-	// Answers are answers of the own backend server for other nodes.
+	// Answers are answers of the own backend server until they are passed on.
 	Answers
 
 	kindCount
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -83,8 +83,8 @@
 	return true
 }
 
-// findIncarnation returns the incarnation of the own backend server with an id. A node that has just started knows it from its row
-// at the earliest, so that it waits until its recovery is complete.
+// findIncarnation returns the incarnation of the own backend server with an id: the current one, or the one in the row of this node.
+// Until its recovery is complete, a node may lack its row, so that an unknown id is looked up again until then or until ctx ends.
 func (n *Node) findIncarnation(ctx context.Context, id string) (directory.Incarnation, bool) {
 	for {
 		n.mu.Lock()
--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -22,7 +22,7 @@
 	callerWriteTimeout = 10 * time.Second
 	// maxAnswerSizes bounds the routes whose answer size is stored.
 	maxAnswerSizes = 4096
-	// answerSizeDecay is the part by which the stored size falls with each smaller answer.
+	// answerSizeDecay is the divisor of the stored size that gives its decrease with each smaller answer.
 	answerSizeDecay = 16
 )
 
@@ -99,7 +99,7 @@
 	}
 	size := int64(len(served.answer.Body))
 	ctx, cancel := context.WithCancel(n.group.Context())
-	cancel() // The answer has been read already, so that there is nothing to wait for.
+	cancel() // The answer is in memory already. Without room it is held unreserved.
 	switch {
 	case r.delivery == nil:
 		r.delivery, _ = n.memory.Reserve(ctx, memory.Deliveries, r.route.Rank, size)
