Identify the client account of a request by its API key

Cause: configurations with client accounts were accepted and their accounts ignored: keys were passed on to backend servers, and requests with unknown keys ran. The rank of an account goes before that of the route. Without accounts nothing changes.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -173,7 +173,7 @@
 	if err != nil {
 		return exchangeResult{outcome: outcomeUnreadable, reason: "head-unreadable"}
 	}
-	b.n.deployment.Prepare(h, ForwardMeta{Remaining: remaining, Backend: id, Caller: j.m.Caller})
+	b.n.deployment.Prepare(h, ForwardMeta{Remaining: remaining, Backend: id, Caller: j.m.Caller, Account: j.m.Account})
 	maxIdle := defaultBackendIdleTimeout
 	if !j.m.Idempotent {
 		maxIdle = nonIdempotentIdleTimeout
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lovagelane/account"
 	"lovagelane/call"
 	"lovagelane/intake"
 	"lovagelane/kernel"
@@ -36,8 +37,11 @@
 
 // request is a request that entered the mesh at this node.
 type request struct {
-	id         string
-	route      *routing.Route
+	id    string
+	route *routing.Route
+	// account is the client account of the caller, and rank the importance of the request.
+	account    account.Account
+	rank       int
 	service    string
 	arrived    time.Time
 	deadline   time.Time
@@ -126,7 +130,12 @@
 	if !ok {
 		return r, unroutableResult{status: fasthttp.StatusNotFound, reason: "no-route"}
 	}
-	r.route = route
+	caller, ok := cfg.Identify(route, meta.Key)
+	if !ok {
+		r.route = route
+		return r, unroutableResult{status: fasthttp.StatusUnauthorized, reason: "unknown-key"}
+	}
+	r.setRoute(route, caller)
 	r.body = req.Body()
 	if limit := cfg.Limits().BodyBytes; limit > 0 && int64(len(r.body)) > limit {
 		return r, unroutableResult{status: fasthttp.StatusRequestEntityTooLarge, reason: "body-too-large"}
@@ -134,11 +143,20 @@
 	remaining = max(remaining-readTime, 0)
 	r.deadline = now.Add(remaining)
 	r.digest = call.Digest(string(h.Method()), string(h.Host())+string(h.RequestURI()), r.body)
-	r.head = requestHead(h, len(r.body))
+	r.head = requestHead(h, len(r.body), func(h *fasthttp.RequestHeader) {
+		if cfg.Accounts().Len() > 0 {
+			n.deployment.RemoveIdentity(h)
+		}
+	})
 	n.planRequest(now, r, remaining)
 	return r, nil
 }
 
+// setRoute sets the route and the account of a request. The rank of the account goes before that of the route.
+func (r *request) setRoute(route *routing.Route, caller account.Account) {
+	r.route, r.account, r.rank = route, caller, caller.Rank.Or(route.Rank)
+}
+
 // findRoute returns the route of a request and the time that it has, of which its caller states the given one, or 0 for none.
 func findRoute(cfg *routing.Config, h *fasthttp.RequestHeader, stated time.Duration) (*routing.Route, time.Duration, bool) {
 	path, _, _ := strings.Cut(string(h.RequestURI()), "?")
@@ -162,24 +180,24 @@
 	defer n.mu.Unlock()
 	r.service = n.splits.Next(r.route, n.rand)
 	n.retryBudgets.CountRequest(now, r.service)
-	r.maxWait = maxQueueWait(r.route, remaining, n.chooser.TypicalRunTime(r.route.Name), n.config.Load().LeastImportantRank())
+	r.maxWait = maxQueueWait(r.route, r.rank, remaining, n.chooser.TypicalRunTime(r.route.Name), n.config.Load().LeastImportantRank())
 }
 
 // maxQueueWait returns how long a request may wait for a slot. A request of the lowest priority is refused early, while its
 // caller still has time to retry. Others wait as long as they can still be answered in time, since they start first.
-func maxQueueWait(route *routing.Route, remaining, typical time.Duration, leastRank int) time.Duration {
+func maxQueueWait(route *routing.Route, rank int, remaining, typical time.Duration, leastRank int) time.Duration {
 	objective := route.Objective
 	if objective == 0 {
 		objective = remaining
 	}
 	earlyWait := min(time.Duration(queueWaitShare*float64(objective)), remaining/2)
-	if route.Rank >= leastRank {
+	if rank >= leastRank {
 		return earlyWait
 	}
 	return max(earlyWait, remaining-runTimeReserve*typical)
 }
 
-// unroutableResult means that the request matches no route or violates a limit.
+// unroutableResult means that the request matches no route, has no valid API key or violates a limit.
 type unroutableResult struct {
 	status int
 	reason string
@@ -206,6 +224,9 @@
 		n.logOutcome("request-failed", r, status, res.reason)
 	case unroutableResult:
 		writeError(x.Response, res.status, res.reason)
+		if res.status == fasthttp.StatusUnauthorized {
+			x.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
+		}
 		n.logOutcome("request-not-routed", r, res.status, res.reason, "host", string(x.Request.Header.Host()),
 			"path", string(x.Request.Header.RequestURI()))
 	}
@@ -249,6 +270,9 @@
 			route = r.route.Name
 			fields = append(fields, "route", route, "service", r.service, "left", r.deadline.Sub(n.clock.Now()))
 		}
+		if r.account.Name != "" {
+			fields = append(fields, "account", r.account.Name, "rank", r.rank)
+		}
 	}
 	n.metrics.Add(event, 1, reason, route)
 	n.log.Info(event, append(fields, pairs...)...)
--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -26,8 +26,10 @@
 	ReadConfig(value []byte) (*routing.Config, error)
 	// ReadyPath returns the path of the readiness endpoint.
 	ReadyPath() string
-	// ReadRequest extracts the request id and the remaining time from the headers of a request.
+	// ReadRequest extracts the request id, the remaining time and the API key from the headers of a request.
 	ReadRequest(h *fasthttp.RequestHeader) RequestMeta
+	// RemoveIdentity removes the API key and the name of a client account, if the caller sent one.
+	RemoveIdentity(h *fasthttp.RequestHeader)
 	// Prepare sets the headers that a backend server expects on a request.
 	Prepare(h *fasthttp.RequestHeader, meta ForwardMeta)
 	// ReadAnswer extracts metadata from the headers of a backend server's answer.
@@ -41,6 +43,8 @@
 	ID string
 	// Remaining is the time until the caller's deadline, or zero if the request states none.
 	Remaining time.Duration
+	// Key is the API key of the caller, or empty if there is none.
+	Key string
 }
 
 // ForwardMeta is the metadata that a node adds to a request before it sends it to its backend server.
@@ -50,6 +54,8 @@
 	Backend string
 	// Caller is the service of the node where the request entered.
 	Caller string
+	// Account is the name of the client account, or empty if there is none.
+	Account string
 }
 
 // AnswerMeta is the metadata that a backend server's answer carries in its headers.
--- a/mesh/head.go
+++ b/mesh/head.go
@@ -10,10 +10,11 @@
 	"lovagelane/call"
 )
 
-// requestHead returns the request line and the end-to-end headers of a request.
-func requestHead(h *fasthttp.RequestHeader, body int) []byte {
+// requestHead returns the request line and the end-to-end headers of a request, as edit changes them.
+func requestHead(h *fasthttp.RequestHeader, body int, edit func(*fasthttp.RequestHeader)) []byte {
 	var out fasthttp.RequestHeader
 	h.CopyTo(&out)
+	edit(&out)
 	out.SetNoDefaultContentType(true)
 	for _, name := range connectionOptions(h.Peek(fasthttp.HeaderConnection)) {
 		if !strings.EqualFold(name, fasthttp.HeaderHost) {
--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -37,18 +37,20 @@
 // reserveBody reserves memory for the body of a request of a caller, and waits for it no longer than the request may wait for a slot
 // and half of its time. Meanwhile the body is not read, so that its caller is held back.
 func (n *Node) reserveBody(h *fasthttp.RequestHeader, size int64) (*memory.Reservation, bool) {
-	r := &request{id: n.deployment.ReadRequest(h).ID, arrived: n.clock.Now()}
-	rank, wait := 0, time.Duration(0)
+	meta := n.deployment.ReadRequest(h)
+	r := &request{id: meta.ID, arrived: n.clock.Now()}
+	wait := time.Duration(0)
 	if cfg := n.config.Load(); cfg != nil {
-		if route, remaining, ok := findRoute(cfg, h, n.deployment.ReadRequest(h).Remaining); ok {
-			r.route, rank = route, route.Rank
+		if route, remaining, ok := findRoute(cfg, h, meta.Remaining); ok {
+			caller, _ := cfg.Identify(route, meta.Key)
+			r.setRoute(route, caller)
 			r.deadline = r.arrived.Add(remaining)
-			wait = min(maxQueueWait(route, remaining, 0, cfg.LeastImportantRank()), remaining/2)
+			wait = min(maxQueueWait(route, r.rank, remaining, 0, cfg.LeastImportantRank()), remaining/2)
 		}
 	}
 	ctx, cancel := context.WithTimeout(n.group.Context(), wait)
 	defer cancel()
-	reserved, ok := n.memory.Reserve(ctx, memory.Requests, rank, size)
+	reserved, ok := n.memory.Reserve(ctx, memory.Requests, r.rank, size)
 	if !ok {
 		n.metrics.Add("memory-refusals", 1, memory.Requests.String())
 		n.logOutcome("request-refused", r, fasthttp.StatusServiceUnavailable, "no-memory", "bytes", size)
@@ -75,7 +77,7 @@
 	}
 	ctx, cancel := context.WithTimeout(n.group.Context(), wait)
 	defer cancel()
-	delivery, ok := n.memory.Reserve(ctx, memory.Deliveries, r.route.Rank, size)
+	delivery, ok := n.memory.Reserve(ctx, memory.Deliveries, r.rank, size)
 	r.delivery = delivery
 	r.waited += n.clock.Now().Sub(now)
 	if !ok {
@@ -102,7 +104,7 @@
 	cancel() // The answer is in memory already. Without room it is held unreserved.
 	switch {
 	case r.delivery == nil:
-		r.delivery, _ = n.memory.Reserve(ctx, memory.Deliveries, r.route.Rank, size)
+		r.delivery, _ = n.memory.Reserve(ctx, memory.Deliveries, r.rank, size)
 	case r.delivery.Size() < size:
 		r.delivery.Grow(ctx, size)
 	default:
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -26,6 +26,8 @@
 	// Head is the encoded request line and headers.
 	Head []byte `cbor:"11,keyasint"`
 	Body []byte `cbor:"12,keyasint,omitempty"`
+	// Account is the name of the client account, or empty if there is none.
+	Account string `cbor:"13,keyasint,omitempty"`
 }
 
 // outcome is the result of a call at the node that received it.
--- a/routing/config.go
+++ b/routing/config.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"lovagelane/account"
 )
 
 // Err is the class of errors for an invalid configuration.
@@ -34,6 +36,8 @@
 	Rank int
 	// MaxAttempts bounds the number of backend servers that one request may be sent to.
 	MaxAttempts int
+	// Public marks a route whose requests need no client account.
+	Public bool
 	// Targets are the services that receive the requests, at least one.
 	Targets []Target
 }
@@ -57,9 +61,10 @@
 	limits   Limits
 	services map[string]Service
 	// byHost holds the routes of each host, the longest prefix first.
-	byHost map[string][]*Route
-	routes []*Route
-	// leastImportantRank is the highest Rank value of all routes.
+	byHost   map[string][]*Route
+	routes   []*Route
+	accounts account.Set
+	// leastImportantRank is the highest rank that a request may have.
 	leastImportantRank int
 }
 
@@ -118,7 +123,48 @@
 // Routes returns all routes. The caller must not modify the result.
 func (c *Config) Routes() []*Route { return c.routes }
 
-// LeastImportantRank returns the rank of the least important routes, which is the highest number.
+// WithAccounts returns a copy of the configuration in which the requests of all but the public routes belong to one of the
+// accounts. An empty set changes nothing.
+func (c *Config) WithAccounts(accounts account.Set) *Config {
+	copied := *c
+	copied.accounts = accounts
+	if accounts.Len() > 0 {
+		copied.leastImportantRank = copied.leastImportantRankOf(accounts.All())
+	}
+	return &copied
+}
+
+// leastImportantRankOf returns the highest rank that a request may have if the requests of routes that aren't public belong to
+// one of the accounts.
+func (c *Config) leastImportantRankOf(accounts []account.Account) int {
+	least, ownRank := 0, false
+	for _, a := range accounts {
+		rank, ok := a.Rank.Get()
+		least = max(least, rank)
+		ownRank = ownRank || !ok
+	}
+	for _, r := range c.routes {
+		if r.Public || ownRank {
+			least = max(least, r.Rank)
+		}
+	}
+	return least
+}
+
+// Accounts returns the client accounts.
+func (c *Config) Accounts() account.Set { return c.accounts }
+
+// Identify returns the client account of a request on a route, which is empty if there is none. It reports false if the route
+// needs an account and the key identifies none. A public route needs no key, and ignores an unknown one.
+func (c *Config) Identify(r *Route, key string) (account.Account, bool) {
+	if c.accounts.Len() == 0 {
+		return account.Account{}, true
+	}
+	a, known := c.accounts.ByKey(key)
+	return a, known || r.Public
+}
+
+// LeastImportantRank returns the rank of the least important requests, which is the highest number.
 func (c *Config) LeastImportantRank() int { return c.leastImportantRank }
 
 // Service returns a service by name.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"lovagelane/account"
 	"lovagelane/kernel"
 	"lovagelane/routing"
 )
@@ -95,3 +96,31 @@
 	}
 	require.Equal(t, "nursery", s.Next(&second, random))
 }
+
+// Guards against a request without a key that runs on a route that needs one, and against calls of backend servers, which carry
+// none, that are refused on public routes.
+func TestIdentify(t *testing.T) {
+	maps := routing.Target{Service: "maps", Weight: 1}
+	private, public := route("private", "a", "/x/", maps), route("public", "a", "/y/", maps)
+	private.Rank, public.Rank, public.Public = 4, 1, true
+	c := newConfig(t, private, public)
+	_, ok := c.Identify(c.Routes()[0], "")
+	require.True(t, ok, "without accounts no key is needed")
+	require.Equal(t, 4, c.LeastImportantRank())
+	accounts, err := account.NewSet([]account.Credentials{
+		{Account: account.Account{Name: "truro", Rank: kernel.Some(2)}, Keys: []string{"key"}}})
+	require.NoError(t, err)
+	with := c.WithAccounts(accounts)
+	require.Zero(t, c.Accounts().Len())
+	for _, tc := range []struct {
+		route int
+		key   string
+		name  string
+		ok    bool
+	}{{0, "key", "truro", true}, {0, "other", "", false}, {0, "", "", false}, {1, "key", "truro", true}, {1, "other", "", true}, {1, "", "", true}} {
+		a, ok := with.Identify(with.Routes()[tc.route], tc.key)
+		require.Equal(t, tc.ok, ok)
+		require.Equal(t, tc.name, a.Name)
+	}
+	require.Equal(t, 2, with.LeastImportantRank(), "the account's rank goes before that of its routes")
+}
