Rank requests by their account first and by their route within it

Change: routing.Config.Rank orders by the rank of the account, then by that of the route. A call without an account counts as of the least important accounts, whose routes keep their order.

--- a/account/account.go
+++ b/account/account.go
@@ -33,7 +33,8 @@
 // Account is a client account.
 type Account struct {
 	Name string
-	// Rank, if set, replaces the rank of the route for the requests of the account.
+	// Rank is the importance of the account's requests, 0 or more, which goes before that of their routes. Without one the account
+	// is among the least important.
 	Rank  kernel.Option[int]
 	Quota Quota
 }
@@ -86,6 +87,8 @@
 			return Set{}, Err.New("account %d has a name with control characters, which a header can't hold: remove them", i)
 		case s.byName[a.Name] != nil:
 			return Set{}, Err.New("account %s is listed twice: join the entries", a.Name)
+		case a.Rank.Or(0) < 0:
+			return Set{}, Err.New("account %s has the rank %d: use 0 or more", a.Name, a.Rank.Or(0))
 		case a.Quota.Rate < 0 || a.Quota.Burst < 0:
 			return Set{}, Err.New("account %s has the rate %g and the burst %g: use 0 or more", a.Name, a.Quota.Rate, a.Quota.Burst)
 		}
--- a/account/account_test.go
+++ b/account/account_test.go
@@ -46,11 +46,12 @@
 // Guards against a configuration in which a request could belong to two accounts, and against an error that shows a key.
 func TestNewSetRejectsAmbiguousAccounts(t *testing.T) {
 	for name, list := range map[string][]account.Credentials{
-		"no name":      {credentials("", "k1")},
-		"line break":   {credentials("a\nb", "k1")},
-		"listed twice": {credentials("truro", "k1"), credentials("truro", "k2")},
-		"shared key":   {credentials("truro", "secret-key"), credentials("bodmin", "secret-key")},
-		"empty key":    {credentials("truro", "")},
+		"no name":       {credentials("", "k1")},
+		"line break":    {credentials("a\nb", "k1")},
+		"listed twice":  {credentials("truro", "k1"), credentials("truro", "k2")},
+		"shared key":    {credentials("truro", "secret-key"), credentials("bodmin", "secret-key")},
+		"empty key":     {credentials("truro", "")},
+		"negative rank": {{Account: account.Account{Name: "truro", Rank: kernel.Some(-1)}, Keys: []string{"k1"}}},
 		"negative rate": {{Account: account.Account{Name: "truro", Quota: account.Quota{Rate: -1}},
 			Keys: []string{"k1"}}},
 	} {
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -135,7 +135,7 @@
 		r.route = route
 		return r, unroutableResult{status: fasthttp.StatusUnauthorized, reason: "unknown-key"}
 	}
-	r.setRoute(route, caller)
+	r.setRoute(cfg, route, caller)
 	r.body = req.Body()
 	if limit := cfg.Limits().BodyBytes; limit > 0 && int64(len(r.body)) > limit {
 		return r, unroutableResult{status: fasthttp.StatusRequestEntityTooLarge, reason: "body-too-large"}
@@ -152,9 +152,9 @@
 	return r, nil
 }
 
-// setRoute sets the route and the account of a request. The rank of the account goes before that of the route.
-func (r *request) setRoute(route *routing.Route, caller account.Account) {
-	r.route, r.account, r.rank = route, caller, caller.Rank.Or(route.Rank)
+// setRoute sets the route and the account of a request, and with them its rank.
+func (r *request) setRoute(cfg *routing.Config, route *routing.Route, caller account.Account) {
+	r.route, r.account, r.rank = route, caller, cfg.Rank(route, caller)
 }
 
 // findRoute returns the route of a request and the time that it has, of which its caller states the given one, or 0 for none.
--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -43,7 +43,7 @@
 	if cfg := n.config.Load(); cfg != nil {
 		if route, remaining, ok := findRoute(cfg, h, meta.Remaining); ok {
 			caller, _ := cfg.Identify(route, meta.Key)
-			r.setRoute(route, caller)
+			r.setRoute(cfg, route, caller)
 			r.deadline = r.arrived.Add(remaining)
 			wait = min(maxQueueWait(route, r.rank, remaining, 0, cfg.LeastImportantRank()), remaining/2)
 		}
--- a/routing/config.go
+++ b/routing/config.go
@@ -64,8 +64,8 @@
 	byHost   map[string][]*Route
 	routes   []*Route
 	accounts account.Set
-	// leastImportantRank is the highest rank that a request may have.
-	leastImportantRank int
+	// routeRanks is the number of ranks of routes, and leastAccountRank the highest rank of an account.
+	routeRanks, leastAccountRank int
 }
 
 // New validates the routes and returns a configuration.
@@ -83,7 +83,7 @@
 		r.MaxAttempts = max(r.MaxAttempts, 1)
 		c.byHost[r.Host] = append(c.byHost[r.Host], &r)
 		c.routes = append(c.routes, &r)
-		c.leastImportantRank = max(c.leastImportantRank, r.Rank)
+		c.routeRanks = max(c.routeRanks, r.Rank+1)
 	}
 	for _, hostRoutes := range c.byHost {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -127,28 +127,18 @@
 // accounts. An empty set changes nothing.
 func (c *Config) WithAccounts(accounts account.Set) *Config {
 	copied := *c
-	copied.accounts = accounts
-	if accounts.Len() > 0 {
-		copied.leastImportantRank = copied.leastImportantRankOf(accounts.All())
+	copied.accounts, copied.leastAccountRank = accounts, 0
+	for _, a := range accounts.All() {
+		copied.leastAccountRank = max(copied.leastAccountRank, a.Rank.Or(0))
 	}
 	return &copied
 }
 
-// leastImportantRankOf returns the highest rank that a request may have if the requests of routes that aren't public belong to
-// one of the accounts.
-func (c *Config) leastImportantRankOf(accounts []account.Account) int {
-	least, ownRank := 0, false
-	for _, a := range accounts {
-		rank, ok := a.Rank.Get()
-		least = max(least, rank)
-		ownRank = ownRank || !ok
-	}
-	for _, r := range c.routes {
-		if r.Public || ownRank {
-			least = max(least, r.Rank)
-		}
-	}
-	return least
+// Rank returns the importance of a request under overload; rank 0 is shed last. The rank of the account goes before that of the
+// route. A request without an account has the rank of the least important accounts: a call of a backend server may work for any
+// of them.
+func (c *Config) Rank(r *Route, a account.Account) int {
+	return a.Rank.Or(c.leastAccountRank)*c.routeRanks + r.Rank
 }
 
 // Accounts returns the client accounts.
@@ -165,7 +155,9 @@
 }
 
 // LeastImportantRank returns the rank of the least important requests, which is the highest number.
-func (c *Config) LeastImportantRank() int { return c.leastImportantRank }
+func (c *Config) LeastImportantRank() int {
+	return c.leastAccountRank*c.routeRanks + max(c.routeRanks-1, 0)
+}
 
 // Service returns a service by name.
 func (c *Config) Service(name string) (Service, bool) {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -106,7 +106,6 @@
 	c := newConfig(t, private, public)
 	_, ok := c.Identify(c.Routes()[0], "")
 	require.True(t, ok, "without accounts no key is needed")
-	require.Equal(t, 4, c.LeastImportantRank())
 	accounts, err := account.NewSet([]account.Credentials{
 		{Account: account.Account{Name: "truro", Rank: kernel.Some(2)}, Keys: []string{"key"}}})
 	require.NoError(t, err)
@@ -122,5 +121,23 @@
 		require.Equal(t, tc.ok, ok)
 		require.Equal(t, tc.name, a.Name)
 	}
-	require.Equal(t, 2, with.LeastImportantRank(), "the account's rank goes before that of its routes")
+}
+
+// Guards against a request of a less important account that goes before one of a more important account because of its route, and
+// against calls of backend servers that are shed like the least important requests although their callers' work would be lost.
+func TestRankOfAccountGoesBeforeThatOfRoute(t *testing.T) {
+	maps := routing.Target{Service: "maps", Weight: 1}
+	quote, order, call := route("quote", "a", "/x/", maps), route("order", "a", "/y/", maps), route("call", "a", "/z/", maps)
+	order.Rank, call.Rank, call.Public = 2, 1, true
+	c := newConfig(t, quote, order, call)
+	routes := c.Routes()
+	require.Equal(t, []int{0, 2, 1}, []int{c.Rank(routes[0], account.Account{}), c.Rank(routes[1], account.Account{}), c.Rank(routes[2], account.Account{})})
+	first, second := account.Account{Name: "first", Rank: kernel.Some(0)}, account.Account{Name: "second", Rank: kernel.Some(1)}
+	accounts, err := account.NewSet([]account.Credentials{{Account: first}, {Account: second}, {Account: account.Account{Name: "third"}}})
+	require.NoError(t, err)
+	c = c.WithAccounts(accounts)
+	order1, quote2, call2, order2 := c.Rank(routes[1], first), c.Rank(routes[0], second), c.Rank(routes[2], account.Account{}), c.Rank(routes[1], second)
+	require.IsIncreasing(t, []int{c.Rank(routes[0], first), order1, quote2, call2, order2})
+	require.Equal(t, order2, c.LeastImportantRank())
+	require.Equal(t, order2, c.Rank(routes[1], account.Account{Name: "third"}))
 }
