--- a/ingress/shares.go
+++ b/ingress/shares.go
@@ -1,10 +1,11 @@
 package ingress
 
 import (
-	"slices"
+	"math"
 	"time"
 
 	"lovagelane/call"
+	"lovagelane/fairshare"
 	"lovagelane/kernel"
 )
 
@@ -113,14 +114,9 @@
 		c.scratch = append(c.scratch, u.requests)
 		return true
 	})
-	slices.Sort(c.scratch)
-	remaining := max(1, c.requests-c.refused)
-	for i, requests := range c.scratch {
-		share := remaining / float64(len(c.scratch)-i)
-		if requests >= share {
-			return share
-		}
-		remaining -= requests
+	share := fairshare.Level(max(1, c.requests-c.refused), c.scratch)
+	if math.IsInf(share, 1) {
+		return 0
 	}
-	return 0
+	return share
 }
