Share the slots of a backend server fairly among accounts, by work

Cause: the queue ordered calls by rank and arrival alone, so an account that surged took the slots of all others of its rank. Change: start-time fair queueing within a rank. An account is charged the learned run time of the route when its call starts and the difference when it ends. The estimate of the wait follows the same order, and a full queue drops the last call of the account that is most above its share for one that starts earlier. Calls without an account keep the order of arrival.

--- a/slots/caps.go
+++ b/slots/caps.go
@@ -20,7 +20,7 @@
 	nearAbove = 1.15
 	// minCapShare is the minimum cap as a fraction of the slots, so that enough runs finish to raise the cap again.
 	minCapShare = 0.05
-	// maxRoutes bounds the number of routes that have caps.
+	// maxRoutes bounds the number of routes that have caps, and of those that have a learned run time.
 	maxRoutes = 4096
 )
 
--- a/slots/heap.go
+++ b/slots/heap.go
@@ -1,59 +1,26 @@
 package slots
 
-// entry is a waiting call. It is in both heaps of the Queue.
-type entry struct {
-	call Call
-	seq  uint64
-	// index holds the position in each heap, by byStart and byExpiry.
-	index [2]int
-}
-
-// startsBefore reports whether e starts before other.
-func (e *entry) startsBefore(other *entry) bool {
-	if e.call.Rank != other.call.Rank {
-		return e.call.Rank < other.call.Rank
-	}
-	return e.seq < other.seq
-}
-
-// expiresBefore reports whether e expires before other.
-func (e *entry) expiresBefore(other *entry) bool {
-	return e.call.LatestStart.Before(other.call.LatestStart)
-}
-
-// The orders of the heaps that hold an entry.
-const (
-	byStart = iota
-	byExpiry
-)
-
-// callHeap is a heap of waiting calls, ordered by start or by expiry.
-type callHeap struct {
-	entries []*entry
-	order   int
-}
+// callHeap is a heap of waiting calls, the first to expire on top.
+type callHeap struct{ entries []*entry }
 
 // Len implements heap.Interface.
 func (h *callHeap) Len() int { return len(h.entries) }
 
 // Less implements heap.Interface.
 func (h *callHeap) Less(i, j int) bool {
-	if h.order == byExpiry {
-		return h.entries[i].expiresBefore(h.entries[j])
-	}
-	return h.entries[i].startsBefore(h.entries[j])
+	return h.entries[i].call.LatestStart.Before(h.entries[j].call.LatestStart)
 }
 
 // Swap implements heap.Interface.
 func (h *callHeap) Swap(i, j int) {
 	h.entries[i], h.entries[j] = h.entries[j], h.entries[i]
-	h.entries[i].index[h.order], h.entries[j].index[h.order] = i, j
+	h.entries[i].index, h.entries[j].index = i, j
 }
 
 // Push implements heap.Interface.
 func (h *callHeap) Push(x any) {
 	e := x.(*entry)
-	e.index[h.order] = len(h.entries)
+	e.index = len(h.entries)
 	h.entries = append(h.entries, e)
 }
 
@@ -65,3 +32,34 @@
 	h.entries = h.entries[:last]
 	return e
 }
+
+// flowHeap is a heap of the flows that have waiting calls, the first to start on top.
+type flowHeap struct{ flows []*flow }
+
+// Len implements heap.Interface.
+func (h *flowHeap) Len() int { return len(h.flows) }
+
+// Less implements heap.Interface.
+func (h *flowHeap) Less(i, j int) bool { return h.flows[i].startsBefore(h.flows[j]) }
+
+// Swap implements heap.Interface.
+func (h *flowHeap) Swap(i, j int) {
+	h.flows[i], h.flows[j] = h.flows[j], h.flows[i]
+	h.flows[i].index, h.flows[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(h.flows)
+	h.flows = append(h.flows, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap) Pop() any {
+	last := len(h.flows) - 1
+	f := h.flows[last]
+	h.flows[last] = nil
+	h.flows = h.flows[:last]
+	return f
+}
--- a/slots/queue_test.go
+++ b/slots/queue_test.go
@@ -98,10 +98,16 @@
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0, 1:
 				c := slots.Call{ID: id, Rank: rapid.IntRange(0, 2).Draw(t, "rank"),
+					Account:     rapid.SampledFrom([]string{"", "truro", "bodmin"}).Draw(t, "account"),
+					Route:       rapid.SampledFrom([]string{"read", "order"}).Draw(t, "route"),
 					LatestStart: now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "wait")) * time.Millisecond)}
-				switch q.Arrive(now, c).(type) {
+				switch d := q.Arrive(now, c).(type) {
 				case slots.Start:
 					running[id] = true
+				case slots.Displace:
+					require.Contains(t, waiting, d.ID)
+					delete(waiting, d.ID)
+					waiting[id] = c.LatestStart
 				case slots.Wait:
 					waiting[id] = c.LatestStart
 				}
