--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -63,6 +63,8 @@
 	mayHaveRun bool
 	// capped is set once a node refused the request because of the cap of its route.
 	capped bool
+	// overShare is set if the last busy node had no slot for the request because its account has used up its share there.
+	overShare bool
 	// sent counts the backend servers that the request was sent to.
 	sent int
 	// nodesTried counts the calls sent to nodes.
@@ -215,6 +217,7 @@
 		writeError(x.Response, fasthttp.StatusServiceUnavailable, res.reason)
 		x.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterValue(retryAfter))
 		n.logOutcome("request-refused", r, fasthttp.StatusServiceUnavailable, res.reason, "retry-after", retryAfter)
+		n.countAccount(r, "refused/"+res.reason, r.waited)
 	case failedResult:
 		status := fasthttp.StatusBadGateway
 		if res.timeout {
@@ -222,6 +225,7 @@
 		}
 		writeError(x.Response, status, res.reason)
 		n.logOutcome("request-failed", r, status, res.reason)
+		n.countAccount(r, "failed/"+res.reason, r.waited)
 	case unroutableResult:
 		writeError(x.Response, res.status, res.reason)
 		if res.status == fasthttp.StatusUnauthorized {
@@ -254,11 +258,21 @@
 	x.Response.SetBodyRaw(a.Body)
 	n.metrics.Add("served", 1, r.route.Name, strconv.Itoa(a.Status))
 	n.metrics.Observe("request", n.clock.Now().Sub(r.arrived), r.route.Name)
+	n.countAccount(r, "served", r.waited+time.Duration(a.WaitedMicros)*time.Microsecond)
 	if a.Status >= fasthttp.StatusInternalServerError {
 		n.logOutcome("request-failed-at-backend-server", r, a.Status, a.Reason)
 	}
 }
 
+// countAccount counts the outcome of a request, and the time for which it waited for a slot, for its account.
+func (n *Node) countAccount(r *request, outcome string, waited time.Duration) {
+	if r.account.Name == "" {
+		return
+	}
+	n.accounts.Add(r.account.Name, outcome, 1)
+	n.accounts.Add(r.account.Name, "waited-ms", waited.Milliseconds())
+}
+
 // logOutcome logs and counts the outcome of a request.
 func (n *Node) logOutcome(event string, r *request, status int, reason string, pairs ...any) {
 	route := ""
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -19,6 +19,10 @@
 	minRetryAfter = 200 * time.Millisecond
 	// noBackendRetryAfter is the Retry-After if no node reported a queue wait, as when the service has no backend server.
 	noBackendRetryAfter = time.Second
+	// noRoomReason and shareReason are the reasons of a request that no backend server has a slot for, in general or for its
+	// account.
+	noRoomReason = "no-room"
+	shareReason  = "share"
 )
 
 // forward sends a request to one node after another until a backend server has run it or no other node may be tried.
@@ -47,7 +51,7 @@
 			return r.refusal("short-below")
 		}
 		if !ok {
-			return r.refusal("no-room")
+			return r.refusal(r.roomReason())
 		}
 		r.nodesTried++
 		answer, failure := n.attempt(now, r, choice)
@@ -59,7 +63,15 @@
 			return res
 		}
 	}
-	return r.refusal("no-room")
+	return r.refusal(r.roomReason())
+}
+
+// roomReason returns why there was no slot for the request at the node that was tried last.
+func (r *request) roomReason() string {
+	if r.overShare {
+		return shareReason
+	}
+	return noRoomReason
 }
 
 // handleAnswer returns the result of the request after an attempt, or nil if another node is to be tried.
@@ -103,6 +115,7 @@
 func (r *request) recordBusy(choice dispatch.Choice, a answerMessage) {
 	waited := time.Duration(a.WaitedMicros) * time.Microsecond
 	r.waited += waited
+	r.overShare = a.OverShare
 	if wait := a.Load.slots().Wait; r.shortestWait == 0 || wait < r.shortestWait {
 		r.shortestWait = max(wait, minRetryAfter)
 	}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -74,6 +74,8 @@
 	Reason string `cbor:"8,keyasint,omitempty"`
 	// Crashed is set when the backend server crashed while it ran the call.
 	Crashed bool `cbor:"9,keyasint,omitempty"`
+	// OverShare is set if no slot became free in time because the account of the call has used up its share of them.
+	OverShare bool `cbor:"14,keyasint,omitempty"`
 	// nodeUnreachable is set by the sending node when the connection to the other node was lost before its answer.
 	nodeUnreachable bool
 	// repeatTaken is set by the sending node when the repeat of a call without answer was taken from the retry budget.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -92,6 +92,7 @@
 	clock      kernel.Clock
 	log        *event.Log
 	metrics    *event.Metrics
+	accounts   event.Ranking
 	rand       *kernel.Rand
 	deployment Deployment
 	store      Store
@@ -343,6 +344,7 @@
 		b.WriteString(kv.Key + " " + kv.Value.String() + "\n")
 	})
 	b.WriteString("lovagelane " + n.metrics.Var().String() + "\n")
+	b.WriteString("lovagelane-accounts " + n.accounts.String() + "\n")
 	ctx.SetContentType("text/plain")
 	ctx.SetBody(b.Bytes())
 }
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -91,15 +91,19 @@
 		}
 	}
 	latest := now.Add(time.Duration(j.m.WaitMS) * time.Millisecond)
-	switch n.queue.Arrive(now, slots.Call{ID: j.id, Rank: j.m.Rank, LatestStart: latest}).(type) {
+	c := slots.Call{ID: j.id, Rank: j.m.Rank, Account: j.m.Account, Route: j.m.Route, LatestStart: latest}
+	switch d := n.queue.Arrive(now, c).(type) {
 	case slots.Start:
 		n.jobs[j.id] = j
 		n.startLocked(now, j)
 	case slots.Wait:
 		n.jobs[j.id] = j
+	case slots.Displace:
+		n.jobs[j.id] = j
+		n.applyEventsAsync([]slots.Event{slots.Expired{ID: d.ID, OverShare: true}})
 	case slots.Refuse:
 		n.releaseCapLocked(j)
-		return n.answerLocked(j, outcomeBusy, "busy"), true
+		return n.busyLocked(j, "busy", d.OverShare), true
 	}
 	return answerMessage{}, false
 }
@@ -136,6 +140,17 @@
 	return a
 }
 
+// busyLocked returns the answer to a job that got no slot, with a reason of its own if its account has used up its share.
+func (n *Node) busyLocked(j *job, reason string, overShare bool) answerMessage {
+	if overShare {
+		reason = shareReason
+		n.metrics.Add("calls-over-share", 1)
+	}
+	a := n.answerLocked(j, outcomeBusy, reason)
+	a.OverShare = overShare
+	return a
+}
+
 // startLocked runs a job on a worker, or on its own goroutine if the queue of the workers is full.
 func (n *Node) startLocked(now time.Time, j *job) {
 	j.started, j.running = now, true
@@ -154,7 +169,7 @@
 			n.startLocked(now, n.jobs[e.ID])
 		case slots.Expired:
 			j := n.jobs[e.ID]
-			a := n.answerLocked(j, outcomeBusy, "waited")
+			a := n.busyLocked(j, "waited", e.OverShare)
 			delete(n.jobs, e.ID)
 			n.releaseCapLocked(j)
 			j.done = true
