--- a/slots/flow.go
+++ b/slots/flow.go
@@ -24,8 +24,8 @@
 	previous, next *entry
 }
 
-// flow holds the waiting calls of one account and rank in order of arrival. Calls without an account are a flow too, which is
-// never charged.
+// flow holds the waiting calls of one account and rank in order of arrival. Calls without an account are a flow too, whose calls
+// are charged nothing.
 type flow struct {
 	rank    int
 	account string
@@ -77,10 +77,13 @@
 	return s.clocks.GetOrAdd(rank)
 }
 
-// work returns the expected slot-seconds of a call of a route.
-func (s *shares) work(route string) float64 {
+// work returns the slot-seconds that a call is expected to be charged: none if it has no account.
+func (s *shares) work(c Call) float64 {
+	if c.Account == "" {
+		return 0
+	}
 	if s.routeWork != nil {
-		if learned := s.routeWork.Get(route); learned != nil {
+		if learned := s.routeWork.Get(c.Route); learned != nil {
 			return max(*learned, minWork)
 		}
 	}
@@ -103,20 +106,19 @@
 func (s *shares) charge(f *flow, tag, work float64) {
 	clock := s.clock(f.rank)
 	clock.now = max(clock.now, tag)
-	if f.account != "" {
-		f.finish = tag + work
-		clock.latestFinish = max(clock.latestFinish, f.finish)
-	}
+	f.finish = tag + work
+	clock.latestFinish = max(clock.latestFinish, f.finish)
 }
 
 // correct adds the difference between the true and the expected work of a call that has ended.
 func (s *shares) correct(f *flow, difference float64) {
-	if f.account != "" {
-		f.finish += difference
-		f.updateTag()
-		clock := s.clock(f.rank)
-		clock.latestFinish = max(clock.latestFinish, f.finish)
+	if f.account == "" {
+		return
 	}
+	f.finish += difference
+	f.updateTag()
+	clock := s.clock(f.rank)
+	clock.latestFinish = max(clock.latestFinish, f.finish)
 }
 
 // startPeriod makes all accounts of a rank equal, since a slot is free and nobody's use kept another one from it.
@@ -126,12 +128,7 @@
 }
 
 // tagOf returns the start tag of a call that arrives at the virtual time now, with no call of its flow before it.
-func (f *flow) tagOf(now float64) float64 {
-	if f.account == "" {
-		return now
-	}
-	return max(now, f.finish)
-}
+func (f *flow) tagOf(now float64) float64 { return max(now, f.finish) }
 
 // updateTag sets the start tag of the first waiting call.
 func (f *flow) updateTag() {
@@ -142,19 +139,14 @@
 
 // nextTag returns the start tag of a call that arrives at the virtual time now, behind the waiting calls of its flow.
 func (f *flow) nextTag(now float64) float64 {
-	if f.waiting == 0 || f.account == "" {
+	if f.waiting == 0 {
 		return f.tagOf(now)
 	}
 	return max(now, f.tag+f.waitingWork)
 }
 
 // lastTag returns the start tag of the last waiting call.
-func (f *flow) lastTag() float64 {
-	if f.account == "" {
-		return f.last.arrivedAt
-	}
-	return f.tag + f.waitingWork - f.last.work
-}
+func (f *flow) lastTag() float64 { return f.tag + f.waitingWork - f.last.work }
 
 // startsBefore reports whether the first waiting call of f starts before that of other.
 func (f *flow) startsBefore(other *flow) bool {
@@ -172,7 +164,7 @@
 	switch first := f.tag; {
 	case first > tag:
 		return 0
-	case f.account == "" || f.lastTag() <= tag:
+	case f.lastTag() <= tag:
 		return f.waiting
 	default:
 		return min(f.waiting, 1+int((tag-first)*float64(f.waiting)/f.waitingWork))
--- a/slots/queue.go
+++ b/slots/queue.go
@@ -144,7 +144,7 @@
 	f := q.shares.flow(c)
 	if len(q.running) < q.limit && len(q.waiting) == 0 {
 		q.shares.startPeriod(c.Rank)
-		q.start(c, f, f.tagOf(q.shares.clock(c.Rank).now), q.shares.work(c.Route))
+		q.start(c, f, f.tagOf(q.shares.clock(c.Rank).now), q.shares.work(c))
 		return Start{}
 	}
 	virtual := q.shares.clock(c.Rank).now
@@ -159,7 +159,7 @@
 		d = Displace{ID: displaced.call.ID}
 	}
 	q.seq++
-	q.push(&entry{call: c, flow: f, seq: q.seq, work: q.shares.work(c.Route), arrivedAt: virtual, overShare: tag > virtual})
+	q.push(&entry{call: c, flow: f, seq: q.seq, work: q.shares.work(c), arrivedAt: virtual, overShare: tag > virtual})
 	return d
 }
 
