Tighten the tests of ranks and of runs that take longer than learned

Cause: two mutations, reversed ranks and a heap that isn't mended after a correction, turned no test red. Change: the test of ranks bounds the wait of important calls by one run; one test more. Result: both mutations are red now; go test ./slots passes.

--- a/slots/share_test.go
+++ b/slots/share_test.go
@@ -31,6 +31,8 @@
 	asked, served, overShare int
 	// servedWork is in slot-seconds, of the calls that started while calls arrived.
 	servedWork float64
+	// longestWait is the longest time that a call waited before it started.
+	longestWait time.Duration
 }
 
 func steady(slots float64) func(time.Duration) float64 {
@@ -99,11 +101,12 @@
 
 func (s *simulation) arrive(src *source, retries int) {
 	s.lastID++
-	id := s.lastID
+	id, arrived := s.lastID, s.now
 	s.pending[id] = func(ran bool) {
 		switch {
 		case ran:
 			src.served++
+			src.longestWait = max(src.longestWait, s.now-arrived)
 			if s.now < s.length {
 				src.servedWork += src.run.Seconds()
 			}
@@ -221,8 +224,8 @@
 	}
 }
 
-// Pattern: one account asks for most of the room with important calls. Ranks go before shares, so it loses none of these, and the
-// accounts of the other rank share the rest equally, 10% aside.
+// Pattern: one account asks for most of the room with important calls. Ranks go before shares, so it loses none of these and
+// each waits for the next free slot only, at most for one run. The accounts of the other rank share the rest equally, 10% aside.
 // Mutation: startsBefore with the ranks reversed.
 func TestRanksGoBeforeShares(t *testing.T) {
 	important := &source{account: "a", rank: 0, slots: steady(80), run: 100 * ms, route: "pay", wait: time.Second}
@@ -232,6 +235,7 @@
 	}
 	simulate(100, 40*time.Second, append(others, important)...)
 	requireAllServed(t, []*source{important})
+	require.LessOrEqual(t, important.longestWait, important.run)
 	for _, src := range others {
 		require.InDelta(t, 5*40, src.servedWork, 0.1*5*40, src.account)
 	}
@@ -287,6 +291,17 @@
 	require.Equal(t, []slots.Event{slots.Started{ID: 4}}, q.Finish(2, 100*ms))
 }
 
+// Guards against an account whose run has just taken far longer than expected and that starts the next call all the same.
+// Mutation: no heap.Fix in Finish.
+func TestLongRunCountsFromItsEnd(t *testing.T) {
+	q := queue(2)
+	q.Arrive(start, slots.Call{ID: 1, Account: "a", LatestStart: start})
+	q.Arrive(start, slots.Call{ID: 2, Account: "b", LatestStart: start})
+	q.Arrive(start, slots.Call{ID: 3, Account: "a", LatestStart: start.Add(time.Hour)})
+	q.Arrive(start, slots.Call{ID: 4, Account: "b", LatestStart: start.Add(time.Hour)})
+	require.Equal(t, []slots.Event{slots.Started{ID: 4}}, q.Finish(1, time.Second))
+}
+
 // Guards against an account whose calls expired in the queue and that is charged for them.
 // Mutation: finish charged in flow.push.
 func TestExpiredCallsAreNotCharged(t *testing.T) {
