--- a/slots/share_test.go
+++ b/slots/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -389,3 +390,25 @@
 		})
 	}
 }
+
+// Guards against unbounded memory for the names of accounts and routes.
+// Mutation: maxFlows or maxRoutes of 1<<30.
+func TestTablesOfAccountsAndRoutesAreBounded(t *testing.T) {
+	q := queue(1)
+	heapAfter := func(from, to uint64) uint64 {
+		for id := from; id < to; id++ {
+			name := fmt.Sprint("name-", id)
+			q.Arrive(start, slots.Call{ID: id, Account: name, Route: name, LatestStart: start})
+			q.Finish(id, ms)
+		}
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	empty := heapAfter(0, 1)
+	before := heapAfter(1, 10000)
+	t.Logf("%d bytes for full tables", before-empty)
+	require.Less(t, heapAfter(10000, 100000), before+1<<20)
+	runtime.KeepAlive(q)
+}
