--- a/slots/flow.go
+++ b/slots/flow.go
@@ -3,7 +3,8 @@
 import "lovagelane/kernel"
 
 const (
-	// maxFlows and maxRanks bound the tables of accounts by rank and of ranks. Beyond them, the least recently used entry is forgotten.
+	// maxFlows and maxRanks bound the tables of accounts by rank and of ranks. Beyond them, the least recently used entry
+	// is forgotten.
 	maxFlows = 4096
 	maxRanks = 64
 	// minWork is the least work, in slot-seconds, that a call is charged, so that no account has calls for free.
