Start no requests at the entry that fail further down for the sake of more important ones

Cause: when a service at the end of long chains rejects most calls, entries go on starting less important requests. They spend the repeats that more important ones need and fail all the same, and calls leave their region for backend servers that fail less often by chance alone.

Change: answers report how the recent runs of a route ended at a backend server. An entry lowers the share that it starts of a class that ends badly while a more important class does, and raises it when either ends well. Failure rates are compared with the average of their region. The setting whole-chains switches both on.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -46,6 +46,10 @@
 	observationHalfLife = 3 * time.Second
 	// failureSmoothing is the weight of one call in the moving average of a backend server's failure rate.
 	failureSmoothing = 0.15
+	// chanceDeviations is the number of standard deviations up to which a difference of failure rates is taken for chance.
+	chanceDeviations = 2
+	// maxRegionCalls is the number of calls that the average failure rate of a region reflects.
+	maxRegionCalls = 50
 	// failurePenalty is the cost of a failure as a multiple of the objective: at best the call is late, at worst the work of
 	// its callers is lost.
 	failurePenalty = 2
@@ -129,6 +133,10 @@
 // Chooser tracks the load, run time and failures of all backend servers and chooses among them. The caller serializes
 // access to it. Its zero value has no candidates.
 type Chooser struct {
+	// CompareInRegion has the failure rate of a backend server count only as far as it differs from that of its region by more
+	// than chance explains.
+	CompareInRegion bool
+
 	home      balance.Place
 	peers     map[string]*peer
 	byService map[string][]*peer
@@ -137,6 +145,8 @@
 	roundTrips map[balance.Place]time.Duration
 	// regionWaits holds the average queue waits by service and region.
 	regionWaits map[serviceRegion]regionWait
+	// regionFailures holds the average failure rates by service and region.
+	regionFailures map[serviceRegion]regionFailures
 }
 
 type serviceRegion struct{ service, region string }
@@ -210,6 +220,11 @@
 			delete(c.regionWaits, key)
 		}
 	}
+	for key := range c.regionFailures {
+		if len(c.byService[key.service]) == 0 {
+			delete(c.regionFailures, key)
+		}
+	}
 }
 
 // Choose returns the candidate with the lowest cost, and false when every candidate is excluded or capped. If all remaining
@@ -271,7 +286,7 @@
 		objective = defaultObjective
 	}
 	run := time.Duration(float64(typical)*p.runTimeRatio(now)) +
-		time.Duration(failurePenalty*p.currentFailureRate(now)*float64(objective))
+		time.Duration(failurePenalty*c.expectedFailureRate(now, p)*float64(objective))
 	// Utilization breaks ties between equal candidates, then random jitter does.
 	run += time.Duration(utilizationPenaltyShare*p.utilization()*float64(typical)) + time.Duration(random.IntN(int(time.Millisecond)))
 	return cost{run: run, wait: c.queueWait(now, p, typical), travel: c.travelCost(now, p, q.Route)}
@@ -391,9 +406,57 @@
 	return p.failureRate * math.Exp2(-now.Sub(p.failureRateAt).Seconds()/observationHalfLife.Seconds())
 }
 
-func (p *peer) updateFailureRate(now time.Time, failed float64) {
+func (c *Chooser) updateFailureRate(now time.Time, p *peer, failed float64) {
 	rate := p.currentFailureRate(now)
 	p.failureRate, p.failureRateAt = rate+(failed-rate)*failureSmoothing, now
+	if !c.CompareInRegion {
+		return
+	}
+	if c.regionFailures == nil {
+		c.regionFailures = map[serviceRegion]regionFailures{}
+	}
+	key := p.candidate.serviceRegion()
+	c.regionFailures[key] = c.regionFailures[key].with(now, failed)
+}
+
+// expectedFailureRate returns the failure rate that a call to a backend server is expected to meet. Rates of a few calls differ by
+// chance, and no call should travel for that: the rate is that of the region, and what lies beyond chance is added.
+func (c *Chooser) expectedFailureRate(now time.Time, p *peer) float64 {
+	rate := p.currentFailureRate(now)
+	if !c.CompareInRegion {
+		return rate
+	}
+	mean := c.regionFailures[p.candidate.serviceRegion()].current(now)
+	chance := chanceDeviations * math.Sqrt(mean*(1-mean)*failureSmoothing/(2-failureSmoothing))
+	return mean + math.Copysign(max(0, math.Abs(rate-mean)-chance), rate-mean)
+}
+
+// regionFailures is the moving average of the failure rate of a service in a region.
+type regionFailures struct {
+	rate, calls float64
+	at          time.Time
+}
+
+// current returns the average, which decays with observationHalfLife so that the region is tried again.
+func (r regionFailures) current(now time.Time) float64 {
+	if r.rate == 0 {
+		return 0
+	}
+	return r.rate * r.kept(now)
+}
+
+func (r regionFailures) kept(now time.Time) float64 {
+	return math.Exp2(-now.Sub(r.at).Seconds() / observationHalfLife.Seconds())
+}
+
+// with returns the average after a call. The first calls after a pause count more, so that it soon reflects the present.
+func (r regionFailures) with(now time.Time, failed float64) regionFailures {
+	rate, calls := r.current(now), 1.0
+	if r.calls > 0 {
+		calls += r.calls * r.kept(now)
+	}
+	calls = min(calls, maxRegionCalls)
+	return regionFailures{rate: rate + (failed-rate)/calls, calls: calls, at: now}
 }
 
 // RecordLoad records the load that a node reported for its backend server.
@@ -421,7 +484,7 @@
 	switch o := o.(type) {
 	case Answered:
 		p.ejectedUntil, p.backoff = time.Time{}, 0
-		p.updateFailureRate(now, 0)
+		c.updateFailureRate(now, p, 0)
 		c.recordRunTime(now, p, o)
 	case Unusable:
 		if now.Before(p.ejectedUntil) {
@@ -430,7 +493,7 @@
 		p.backoff = min(maxBackoff, max(initialBackoff, 2*p.backoff))
 		p.ejectedUntil = now.Add(p.backoff)
 	case Failed:
-		p.updateFailureRate(now, 1)
+		c.updateFailureRate(now, p, 1)
 	case Capped:
 		if p.cappedUntil == nil {
 			p.cappedUntil = kernel.NewLRU[string, time.Time](maxRouteCaps)
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -26,6 +26,9 @@
 	if n.isQuarantined(r.digest) {
 		return refusedResult{reason: "quarantined", retryAfter: defaultTimeout}
 	}
+	if refusal := n.admitRequest(r); refusal != nil {
+		return refusal
+	}
 	if !n.reserveDelivery(r) {
 		return refusedResult{reason: "no-memory", retryAfter: noBackendRetryAfter}
 	}
@@ -167,6 +170,7 @@
 	if a.Load.Limit > 0 {
 		n.chooser.RecordLoad(now, address, a.Load.slots())
 	}
+	n.chains.recordReport(now, r, address, a)
 	var o dispatch.Outcome
 	switch a.Outcome {
 	case outcomeAnswered:
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"lovagelane/chain"
 	"lovagelane/directory"
 	"lovagelane/kernel"
 	"lovagelane/quarantine"
@@ -74,6 +75,10 @@
 	Reason string `cbor:"8,keyasint,omitempty"`
 	// Crashed is set when the backend server crashed while it ran the call.
 	Crashed bool `cbor:"9,keyasint,omitempty"`
+	// Ends is the share of the recent runs of the call's route at the backend server that ended badly, and FromOutside reports
+	// whether outside callers call the route.
+	Ends        chain.Report `cbor:"10,keyasint,omitempty"`
+	FromOutside bool         `cbor:"11,keyasint,omitempty"`
 	// nodeUnreachable is set by the sending node when the connection to the other node was lost before its answer.
 	nodeUnreachable bool
 	// repeatTaken is set by the sending node when the repeat of a call without answer was taken from the retry budget.
@@ -91,7 +96,7 @@
 // valid reports whether the outcome is known and the other fields are within their bounds.
 func (a answerMessage) valid() bool {
 	l := a.Load
-	return a.Outcome <= outcomeUnreadable && inRange(a.RanMicros, 1000*maxMillis) && inRange(a.WaitedMicros, 1000*maxMillis) &&
+	return a.Outcome <= outcomeUnreadable && a.Ends <= chain.MaxReport && inRange(a.RanMicros, 1000*maxMillis) && inRange(a.WaitedMicros, 1000*maxMillis) &&
 		inRange(l.WaitMS, maxMillis) && inRange(int64(l.Running), maxReportedCalls) && inRange(int64(l.Waiting), maxReportedCalls) &&
 		inRange(int64(l.Limit), maxReportedCalls)
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -127,6 +127,7 @@
 	splits       routing.TrafficSplitter
 	retryBudgets retry.WindowBudgets
 	quarantine   quarantine.Table
+	chains       *chains
 	recovery     recovery
 	// configLag and directoryLag record how long this node has been behind another one.
 	configLag, directoryLag lag
@@ -192,6 +193,10 @@
 	n.service = o.Settings.Service
 	n.retryBudgets = retry.WindowBudgets{Ratio: o.Settings.RepeatRatio, Fixed: float64(o.Settings.RepeatsAllowed),
 		Length: o.Settings.RepeatWindow}
+	if o.Settings.WholeChains {
+		n.chains = &chains{}
+		n.chooser.CompareInRegion = true
+	}
 	n.memory = memory.New(memoryLimit(o.Settings.MemoryMB))
 	n.answerSizes = kernel.NewLRU[string, int64](maxAnswerSizes)
 	n.backend = newBackend(n, o.Settings.BackendServer)
@@ -367,6 +372,12 @@
 		candidates = append(candidates, candidateOf(self))
 	}
 	n.chooser.Update(home, candidates)
+	if n.chains != nil {
+		n.chains.nodes = map[string]int{}
+		for _, c := range candidates {
+			n.chains.nodes[c.Service]++
+		}
+	}
 	return n.directory.Neighbours(n.settings.CallsAddress, n.settings.Region, neighboursPerRing)
 }
 
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -64,6 +64,7 @@
 	n.mu.Lock()
 	n.lastJobID++
 	j.id = n.lastJobID
+	n.chains.recordCall(now, m)
 	a, done := n.admitLocked(now, j)
 	n.mu.Unlock()
 	if done {
@@ -128,10 +129,12 @@
 // answerLocked returns the answer to a job, with the current load of the queue.
 func (n *Node) answerLocked(j *job, o outcome, reason string) answerMessage {
 	a := answerMessage{Outcome: o, Reason: reason, Load: newLoadReport(n.queue.Load())}
+	now := n.clock.Now()
+	n.chains.addReport(now, j.m.Route, &a)
 	if !j.started.IsZero() {
 		a.WaitedMicros = j.started.Sub(j.arrived).Microseconds()
 	} else {
-		a.WaitedMicros = n.clock.Now().Sub(j.arrived).Microseconds()
+		a.WaitedMicros = now.Sub(j.arrived).Microseconds()
 	}
 	return a
 }
@@ -259,6 +262,7 @@
 	delete(n.jobs, j.id)
 	j.running, j.done = false, true
 	n.recordRunLocked(j, x, ran)
+	n.chains.recordEnd(now, j, x)
 	var events []slots.Event
 	if x.outcome == outcomeAnswered && !j.cancelled {
 		events = n.queue.Finish(j.id, ran)
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -25,7 +25,7 @@
 		Required: []string{"deployment", "service", "availability-zone", "region", "backend-server", "callers-listen", "ready-listen",
 			"announce-listen", "calls-listen", "store"},
 		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window",
-			"pipelined-requests"},
+			"pipelined-requests", "whole-chains"},
 	},
 }
 
@@ -64,6 +64,8 @@
 	RepeatWindow   time.Duration
 	// PipelinedRequests is the maximum number of unanswered requests of one connection of a caller; 0 means that it is not set.
 	PipelinedRequests int
+	// WholeChains limits the requests that are started while most of them fail because of services further down.
+	WholeChains bool
 }
 
 // String returns all settings on one line, with field names.
@@ -122,6 +124,7 @@
 		RepeatWindow:     r.Duration(s, "repeat-window", maxRepeatWindow),
 
 		PipelinedRequests: r.Int(s, "pipelined-requests", 1, maxPipelined),
+		WholeChains:       r.Bool(s, "whole-chains"),
 	}
 	if m.CallsAddress == "" {
 		m.CallsAddress = m.CallsListen
