--- a/dispatch/chooser_test.go
+++ b/dispatch/chooser_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -277,3 +278,74 @@
 	q.Exclude = kernel.SetOf("east")
 	require.Equal(t, "near", choose(t, &c, start, q).Address)
 }
+
+// spreadCalls sends calls in a row for a time to a service with four backend servers in each of two regions, of which those for which
+// rejects returns a share reject it, and returns the share of the calls that left the region.
+func spreadCalls(c *dispatch.Chooser, seed uint64, now time.Time, length time.Duration, rejects func(address string) float64) float64 {
+	var candidates []dispatch.Candidate
+	for _, address := range []string{"near-1", "near-2", "near-3", "near-4", "far-1", "far-2", "far-3", "far-4"} {
+		place := home
+		if strings.HasPrefix(address, "far") {
+			place = balance.Place{Region: "ce", AvailabilityZone: "ce-1"}
+		}
+		candidates = append(candidates, dispatch.Candidate{Address: address, Service: "maps", Place: place, Slots: 10})
+	}
+	c.Update(home, candidates)
+	random := kernel.NewRand(seed)
+	q := dispatch.Query{Service: "maps", Route: "read", Objective: 300 * time.Millisecond, MaxWait: time.Second}
+	calls, left := 0.0, 0.0
+	for end := now.Add(length); now.Before(end); now = now.Add(5 * time.Millisecond) {
+		choice, _ := c.Choose(now, q, random)
+		calls++
+		if choice.CrossRegion {
+			left++
+		}
+		var o dispatch.Outcome = dispatch.Answered{Route: "read", RunTime: 50 * time.Millisecond, Bytes: 1 << 10}
+		if random.Float64() < rejects(choice.Address) {
+			o = dispatch.Failed{}
+		}
+		c.RecordLoad(now, choice.Address, slots.Load{Running: 1, Limit: 10})
+		c.RecordOutcome(now, choice.Address, o)
+	}
+	return left / calls
+}
+
+// Pattern: all backend servers of a service reject 55% for 10 s. Guards against calls that leave their region, at a price, for a
+// backend server that only by chance has rejected fewer of the last calls.
+//
+// A region that hasn't been called for 3 s is tried again, which takes some 20 calls of 600: 3%.
+func TestEqualFailureRatesKeepCallsInTheirRegion(t *testing.T) {
+	for seed := range uint64(10) {
+		c := &dispatch.Chooser{CompareInRegion: true}
+		require.Less(t, spreadCalls(c, seed, start, 10*time.Second, func(string) float64 { return 0.55 }), 0.06)
+	}
+}
+
+// Pattern: the backend servers of one region reject 55%, then a single one does. Guards against calls that stay in a region that
+// fails although another one has room, and against calls that leave it for the sake of one backend server or don't come back.
+func TestRegionThatFailsIsLeftAndOneBackendServerIsAvoided(t *testing.T) {
+	for seed := range uint64(10) {
+		c := &dispatch.Chooser{CompareInRegion: true}
+		near := func(address string) float64 {
+			if strings.HasPrefix(address, "near") {
+				return 0.55
+			}
+			return 0
+		}
+		require.Zero(t, spreadCalls(c, seed, start, time.Second, func(string) float64 { return 0 }))
+		spreadCalls(c, seed, start.Add(time.Second), time.Second, near)
+		require.Greater(t, spreadCalls(c, seed, start.Add(2*time.Second), 8*time.Second, near), 0.7)
+		spreadCalls(c, seed, start.Add(10*time.Second), 8*time.Second, func(string) float64 { return 0 })
+		require.Less(t, spreadCalls(c, seed, start.Add(18*time.Second), 8*time.Second, func(string) float64 { return 0 }), 0.05)
+		one := 0
+		left := spreadCalls(c, seed, start.Add(26*time.Second), 10*time.Second, func(address string) float64 {
+			if address == "near-1" {
+				one++
+				return 0.55
+			}
+			return 0
+		})
+		require.Less(t, left, 0.02)
+		require.Less(t, one, 300, "a quarter of the calls would be 500")
+	}
+}
