--- a/chain/gate.go
+++ b/chain/gate.go
@@ -21,16 +21,18 @@
 	// stepInterval is the time between two changes of a share. It exceeds the time that most requests take to show the effect.
 	stepInterval = 250 * time.Millisecond
 	// shareDecrease and shareIncrease are the factors of one step.
-	shareDecrease = 0.5
-	shareIncrease = 2
+	shareDecrease = 0.25
+	shareIncrease = 4
 	// minShare is the share that is started during a shortage, so that the end of the shortage is noticed.
 	minShare = 1.0 / 16
-	// relapseTime is the time after a growth of more than one step within which a decrease counts as caused by it; the next growth
-	// is then slower by half, at most maxSlowdowns times.
+	// relapseTime is the time after a growth within which a decrease counts as caused by it; the next growth is then slower by half,
+	// at most maxSlowdowns times.
 	relapseTime  = 4 * time.Second
-	maxSlowdowns = 4
-	// calmTime is how long a share must have been whole until it grows at full pace again.
+	maxSlowdowns = 5
+	// calmTime is how long a share must not have fallen after a growth until it grows at full pace again.
 	calmTime = 10 * time.Second
+	// reportHalfLife is the age at which a report weighs half.
+	reportHalfLife = time.Second
 	// minRetryAfter and maxRetryAfter bound the time after which the caller of a refused request may come back, and
 	// retryAfterSpread is the part by which it varies, so that callers don't come back all at once.
 	minRetryAfter    = 500 * time.Millisecond
@@ -90,9 +92,11 @@
 	withheld float64
 	// slowdowns is how often the pace of growth was halved.
 	slowdowns int
-	// steppedAt is the time of the last step, grewAt that of the last growth, shortSince that of the first decrease of the current
-	// shortage, and wholeSince the time at which the share became whole.
-	steppedAt, grewAt, shortSince, wholeSince time.Time
+	// growing is set if the last change was a growth.
+	growing bool
+	// steppedAt is the time of the last step, grewAt that of the last growth, and shortSince that of the first decrease of the
+	// current shortage.
+	steppedAt, grewAt, shortSince time.Time
 }
 
 type datedReport struct {
@@ -203,7 +207,7 @@
 		if now.Sub(r.at) >= reportTTL {
 			return false
 		}
-		weight := math.Exp2(-now.Sub(r.at).Seconds() / endsHalfLife.Seconds())
+		weight := math.Exp2(-now.Sub(r.at).Seconds() / reportHalfLife.Seconds())
 		reporters++
 		total += weight
 		badShare += weight * r.badShare
@@ -241,24 +245,22 @@
 }
 
 func (c *class) decrease(now time.Time) {
-	switch {
-	case c.withheld == 0 && now.Sub(c.wholeSince) >= calmTime:
-		c.slowdowns = 0
-	case !c.grewAt.IsZero() && now.Sub(c.grewAt) < relapseTime && c.share() > shareIncrease*minShare:
-		c.slowdowns = min(c.slowdowns+1, maxSlowdowns)
-	}
 	if c.withheld == 0 {
 		c.shortSince = now
 	}
-	c.grewAt = time.Time{}
+	if c.growing {
+		if now.Sub(c.grewAt) >= calmTime {
+			c.slowdowns = 0
+		} else if now.Sub(c.grewAt) < relapseTime {
+			c.slowdowns = min(c.slowdowns+1, maxSlowdowns)
+		}
+	}
+	c.growing = false
 	c.withheld = 1 - max(minShare, c.share()*shareDecrease)
 }
 
 func (c *class) increase(now time.Time, steps int) {
 	factor := math.Pow(shareIncrease, float64(steps)/math.Exp2(float64(c.slowdowns)))
-	c.grewAt = now
+	c.growing, c.grewAt = true, now
 	c.withheld = max(0, 1-c.share()*factor)
-	if c.withheld == 0 {
-		c.wholeSince = now
-	}
 }
--- a/chain/load_test.go
+++ b/chain/load_test.go
@@ -168,7 +168,8 @@
 // few can end well while more important ones fail for want of them, and against shares that stay low afterwards.
 //
 // The important class offers 600 chains, of which 0.70^4 = 24% can complete: 144. They need 1.39 repeats each, 834 of the 1,440.
-// All 1,800 chains together need 2,500. The first runs end after 0.6 s, and four halvings take 1 s, in which 416 are spent.
+// All 1,800 chains together need 2,500. The first runs end after 0.6 s, and the reports and two steps take 1 s, in which 416 are
+// spent.
 func TestLastServiceRejectsMostCalls(t *testing.T) {
 	forSeeds(t, func(t *testing.T, seed uint64) {
 		l := load{rejects: between(10*time.Second, 20*time.Second, 0.55), repeats: windowRepeats}
@@ -267,8 +268,8 @@
 // Pattern: the important class fails only while the other class is started, so that it ends well as soon as the share falls. Guards
 // against a share that swings: each swing costs the important class requests.
 //
-// In 60 s at full pace, about every 3 s a swing would fail the important class for a second: a third. Growth at a sixteenth of the
-// pace takes 27 s from the probe to all: at most a tenth fails after the first 15 s.
+// In 60 s at full pace, about every 3 s a swing would fail the important class for a second: a third. Growth at a 32nd of the
+// pace takes 11 s from the probe to where it fails: at most a tenth fails after the first 15 s.
 func TestShareDoesNotSwing(t *testing.T) {
 	forSeeds(t, func(t *testing.T, seed uint64) {
 		random := kernel.NewRand(seed)
--- a/mesh/chains.go
+++ b/mesh/chains.go
@@ -69,7 +69,12 @@
 			"gives-way-to-rank", change.Rank)
 	}
 	if refused, ok := decision.(chain.Refused); ok {
-		return refusedResult{reason: "fails-below", retryAfter: refused.RetryAfter}
+		// A caller that comes back in half of the objective can still be answered within it.
+		inTime := r.route.Objective / 2
+		if inTime == 0 {
+			inTime = refused.RetryAfter
+		}
+		return refusedResult{reason: "fails-below", retryAfter: min(refused.RetryAfter, inTime)}
 	}
 	return nil
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -195,8 +195,8 @@
 		Length: o.Settings.RepeatWindow}
 	if o.Settings.WholeChains {
 		n.chains = &chains{}
-		n.chooser.CompareInRegion = true
 	}
+	n.chooser.CompareInRegion = o.Settings.CompareFailures
 	n.memory = memory.New(memoryLimit(o.Settings.MemoryMB))
 	n.answerSizes = kernel.NewLRU[string, int64](maxAnswerSizes)
 	n.backend = newBackend(n, o.Settings.BackendServer)
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -25,7 +25,7 @@
 		Required: []string{"deployment", "service", "availability-zone", "region", "backend-server", "callers-listen", "ready-listen",
 			"announce-listen", "calls-listen", "store"},
 		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window",
-			"pipelined-requests", "whole-chains"},
+			"pipelined-requests", "whole-chains", "compare-failures"},
 	},
 }
 
@@ -66,6 +66,9 @@
 	PipelinedRequests int
 	// WholeChains limits the requests that are started while most of them fail because of services further down.
 	WholeChains bool
+	// CompareFailures has the failure rate of a backend server count only as far as it differs from that of its region by more than
+	// chance explains.
+	CompareFailures bool
 }
 
 // String returns all settings on one line, with field names.
@@ -125,6 +128,7 @@
 
 		PipelinedRequests: r.Int(s, "pipelined-requests", 1, maxPipelined),
 		WholeChains:       r.Bool(s, "whole-chains"),
+		CompareFailures:   r.Bool(s, "compare-failures"),
 	}
 	if m.CallsAddress == "" {
 		m.CallsAddress = m.CallsListen
--- a/settings/mesh_test.go
+++ b/settings/mesh_test.go
@@ -27,6 +27,7 @@
 repeats-allowed = 50
 repeat-window = 10s
 whole-chains = yes
+compare-failures = yes
 `
 
 // Guards against a field of Mesh that is not set, or is set from the wrong key or in the wrong unit.
@@ -36,7 +37,7 @@
 	require.Equal(t, settings.Mesh{Deployment: "operators-platform", Service: "huvo11a", AvailabilityZone: "rn-natal", Region: "rn",
 		BackendServer: "10.1.0.8:8301", CallersListen: "10.1.0.8:8304", ReadyListen: "10.1.0.8:8302", AnnounceListen: "10.1.0.8:8306",
 		CallsListen: "10.1.0.8:8300", CallsAddress: "10.1.0.8:8300", Store: "10.200.1.7:8309", MemoryMB: 284, Grace: 6 * time.Second,
-		RepeatRatio: 0.2, RepeatsAllowed: 50, RepeatWindow: 10 * time.Second, WholeChains: true}, m)
+		RepeatRatio: 0.2, RepeatsAllowed: 50, RepeatWindow: 10 * time.Second, WholeChains: true, CompareFailures: true}, m)
 }
 
 // Guards against invalid settings that are accepted, or that are reported without the line or the remedy.
