Keep requests in their region whose class fails in the others as well

Change: a request that has met a cap isn't offered to nodes of other regions that report that most of their runs of its class end badly. The limit of started requests is a setting of its own, give-way.

--- a/chain/gate.go
+++ b/chain/gate.go
@@ -11,7 +11,7 @@
 	// reportTTL is how long a report counts if none follows.
 	reportTTL = 3 * time.Second
 	// maxReporters bounds the number of backend servers whose last report on a class is stored.
-	maxReporters = 16
+	maxReporters = 64
 	// minReporters is the number of backend servers that must report, so that one that is broken can't stand for its service.
 	minReporters = 2
 	// badShareLimit is the share of bad ends above which starting a request of the class wastes more work than it completes.
@@ -142,6 +142,23 @@
 	return Refused{RetryAfter: time.Duration(spread * float64(lasted))}, change
 }
 
+// BadReporters returns the backend servers that have lately reported that most of their runs of a class end badly.
+func (g *Gate) BadReporters(now time.Time, k Class) kernel.Set[string] {
+	c := g.find(k)
+	if c == nil || c.reports == nil {
+		return nil
+	}
+	bad := kernel.Set[string]{}
+	c.reports.Retain(func(reporter string, r *datedReport) bool {
+		recent := now.Sub(r.at) < reportTTL
+		if recent && r.badShare > badShareLimit {
+			bad[reporter] = struct{}{}
+		}
+		return recent
+	})
+	return bad
+}
+
 // Outside reports whether a class is known to be called by outside callers.
 func (g *Gate) Outside(k Class) bool {
 	c := g.find(k)
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -84,6 +84,8 @@
 	Objective time.Duration
 	// Exclude holds the addresses that the call must not be sent to again.
 	Exclude kernel.Set[string]
+	// Vain holds addresses that the call must not be sent to in other regions, since it would gain nothing there.
+	Vain kernel.Set[string]
 	// MaxWait is the longest total time that the call may wait in queues.
 	MaxWait time.Duration
 }
@@ -233,7 +235,8 @@
 	var best, second, fallback *peer
 	var bestCost, secondCost cost
 	for _, p := range c.byService[q.Service] {
-		if q.Exclude.Has(p.candidate.Address) || p.isCapped(now, q.Route) {
+		if q.Exclude.Has(p.candidate.Address) || p.isCapped(now, q.Route) ||
+			p.candidate.Place.Region != c.home.Region && q.Vain.Has(p.candidate.Address) {
 			continue
 		}
 		if now.Before(p.ejectedUntil) {
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -57,6 +57,8 @@
 	// queued.
 	excluded    kernel.Set[string]
 	offeredWait map[string]time.Duration
+	// vain holds the nodes of other regions at which the request would most likely fail.
+	vain kernel.Set[string]
 	// delivery is the memory reserved for the answer.
 	delivery *memory.Reservation
 	// mayHaveRun is set once a backend server's answer was lost.
--- a/mesh/chains.go
+++ b/mesh/chains.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/chain"
+	"lovagelane/kernel"
 )
 
 // chains holds the state that decides which requests are started when most of them fail further down. Node.mu guards it. It is
@@ -52,11 +53,22 @@
 	c.gate.Report(now, r.class(), address, a.Ends, a.FromOutside)
 }
 
+// vainNodes returns the nodes at whose backend servers most runs of a request's class end badly. A request that has found the cap of
+// its route reached doesn't leave its region for them.
+func (n *Node) vainNodes(r *request) kernel.Set[string] {
+	if n.chains == nil {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.chains.gate.BadReporters(n.clock.Now(), r.class())
+}
+
 func (r *request) class() chain.Class { return chain.Class{Route: r.route.Name, Rank: r.rank} }
 
 // admitRequest returns a refusal if the request is not to be started because most requests of its class end badly.
 func (n *Node) admitRequest(r *request) result {
-	if n.chains == nil {
+	if !n.settings.GiveWay || n.chains == nil {
 		return nil
 	}
 	now := n.clock.Now()
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -81,6 +81,7 @@
 		// The services further down the call graph may have capacity in another region. One call there costs less than
 		// sending all nested calls there.
 		r.capped = true
+		r.vain = n.vainNodes(r)
 		r.excluded = r.excluded.With(choice.Address)
 	case outcomeExpired:
 		return r.refusal("deadline")
@@ -142,7 +143,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.chooser.Choose(now, dispatch.Query{Service: r.service, Route: r.route.Name, Objective: r.route.Objective,
-		Exclude: r.excluded, MaxWait: maxWait}, n.rand)
+		Exclude: r.excluded, Vain: r.vain, MaxWait: maxWait}, n.rand)
 }
 
 // takeRepeat takes a repeat from the shared retry budget and reports whether the route and the budget allow it.
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -25,7 +25,7 @@
 		Required: []string{"deployment", "service", "availability-zone", "region", "backend-server", "callers-listen", "ready-listen",
 			"announce-listen", "calls-listen", "store"},
 		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window",
-			"pipelined-requests", "whole-chains", "compare-failures"},
+			"pipelined-requests", "whole-chains", "give-way", "compare-failures"},
 	},
 }
 
@@ -64,8 +64,12 @@
 	RepeatWindow   time.Duration
 	// PipelinedRequests is the maximum number of unanswered requests of one connection of a caller; 0 means that it is not set.
 	PipelinedRequests int
-	// WholeChains limits the requests that are started while most of them fail because of services further down.
+	// WholeChains has nodes report how the runs of a route end, so that no request leaves its region for a backend server at which
+	// it would most likely fail.
 	WholeChains bool
+	// GiveWay limits the requests that are started of a kind that mostly fails while a more important kind mostly fails as well. It
+	// needs WholeChains.
+	GiveWay bool
 	// CompareFailures has the failure rate of a backend server count only as far as it differs from that of its region by more than
 	// chance explains.
 	CompareFailures bool
@@ -128,8 +132,12 @@
 
 		PipelinedRequests: r.Int(s, "pipelined-requests", 1, maxPipelined),
 		WholeChains:       r.Bool(s, "whole-chains"),
+		GiveWay:           r.Bool(s, "give-way"),
 		CompareFailures:   r.Bool(s, "compare-failures"),
 	}
+	if v, ok := s.Value("give-way"); ok && m.GiveWay && !m.WholeChains {
+		r.Add(v.Line, "give-way needs the reports of whole-chains", "add whole-chains = yes")
+	}
 	if m.CallsAddress == "" {
 		m.CallsAddress = m.CallsListen
 	}
