--- a/chain/reports_test.go
+++ b/chain/reports_test.go
@@ -76,6 +76,18 @@
 	require.False(t, refuses(false, "ab"))
 }
 
+// Guards against a backend server that counts as failing after it has recovered, or on the word of a report that is too old.
+func TestBadReportersAreThoseOfTheLastSeconds(t *testing.T) {
+	var g chain.Gate
+	require.Empty(t, g.BadReporters(start, other))
+	g.Report(start, other, "a", chain.MaxReport, true)
+	g.Report(start, other, "b", 51, true)
+	g.Report(start, other, "c", chain.MaxReport, true)
+	g.Report(start.Add(time.Second), other, "c", 1, true)
+	require.Equal(t, kernel.SetOf("a"), g.BadReporters(start.Add(time.Second), other), "half of the runs at b end well")
+	require.Empty(t, g.BadReporters(start.Add(3*time.Second), other))
+}
+
 // Guards against a class that is refused although nothing more important fails: refusing it would complete no more requests.
 func TestGateRefusesOnlyForMoreImportantClasses(t *testing.T) {
 	random := kernel.NewRand(1)
--- a/dispatch/chooser_test.go
+++ b/dispatch/chooser_test.go
@@ -140,6 +140,21 @@
 	require.Equal(t, "near", choose(t, c, start.Add(time.Second), query).Address)
 }
 
+// Guards against asks of other regions that gain nothing, and against near backend servers that are passed over for the same reason:
+// an ask of them costs little.
+func TestVainNodesOfOtherRegionsAreNotAsked(t *testing.T) {
+	c := newChooser()
+	q := query
+	q.Vain = kernel.SetOf("zone", "far")
+	c.RecordOutcome(start, "near", dispatch.Capped{Route: "read"})
+	require.Equal(t, "zone", choose(t, c, start, q).Address)
+	c.RecordOutcome(start, "zone", dispatch.Capped{Route: "read"})
+	_, ok := c.Choose(start, q, kernel.NewRand(1))
+	require.False(t, ok)
+	q.Vain = nil
+	require.Equal(t, "far", choose(t, c, start, q).Address)
+}
+
 // Guards against small calls that wait in a region short of room while another one has free slots, and against large answers
 // that cross regions for a small gain: the traffic is billed by volume.
 func TestDistanceIsWeighedByBytes(t *testing.T) {
--- a/mesh/chains.go
+++ b/mesh/chains.go
@@ -60,8 +60,10 @@
 		return nil
 	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.chains.gate.BadReporters(n.clock.Now(), r.class())
+	nodes := n.chains.gate.BadReporters(n.clock.Now(), r.class())
+	n.mu.Unlock()
+	n.metrics.Add("vain-nodes", int64(len(nodes)), r.route.Name)
+	return nodes
 }
 
 func (r *request) class() chain.Class { return chain.Class{Route: r.route.Name, Rank: r.rank} }
