Let the test of the gate tell routes of backend servers apart by themselves

Cause: a mutation that drops the check of outside callers left the test green, since neither class came from outside. Result: chain green; the mutation turns TestGateNeedsEvidenceOfOutsideRequests red.

--- a/chain/reports_test.go
+++ b/chain/reports_test.go
@@ -60,7 +60,7 @@
 			now := start.Add(at)
 			for _, reporter := range reporters {
 				g.Report(now, other, string(reporter), chain.MaxReport, outside)
-				g.Report(now, important, string(reporter), chain.MaxReport, outside)
+				g.Report(now, important, string(reporter), chain.MaxReport, true)
 			}
 			require.Equal(t, chain.Started{}, admit(&g, now, important, random))
 			if d, ok := admit(&g, now, other, random).(chain.Refused); ok {
