--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -30,6 +30,9 @@
 	if n.isQuarantined(r.digest) {
 		return refusedResult{reason: "quarantined", retryAfter: defaultTimeout}
 	}
+	if refusal := n.admitRequest(r); refusal != nil {
+		return refusal
+	}
 	if !n.reserveDelivery(r) {
 		return refusedResult{reason: "no-memory", retryAfter: noBackendRetryAfter}
 	}
@@ -90,6 +93,7 @@
 		// The services further down the call graph may have capacity in another region. One call there costs less than
 		// sending all nested calls there.
 		r.capped = true
+		r.vain = n.vainNodes(r)
 		r.excluded = r.excluded.With(choice.Address)
 	case outcomeExpired:
 		return r.refusal("deadline")
@@ -152,7 +156,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.chooser.Choose(now, dispatch.Query{Service: r.service, Route: r.route.Name, Objective: r.route.Objective,
-		Exclude: r.excluded, MaxWait: maxWait}, n.rand)
+		Exclude: r.excluded, Vain: r.vain, MaxWait: maxWait}, n.rand)
 }
 
 // takeRepeat takes a repeat from the shared retry budget and reports whether the route and the budget allow it.
@@ -180,6 +184,7 @@
 	if a.Load.Limit > 0 {
 		n.chooser.RecordLoad(now, address, a.Load.slots())
 	}
+	n.chains.recordReport(now, r, address, a)
 	var o dispatch.Outcome
 	switch a.Outcome {
 	case outcomeAnswered:
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"lovagelane/chain"
 	"lovagelane/directory"
 	"lovagelane/kernel"
 	"lovagelane/quarantine"
@@ -76,6 +77,10 @@
 	Crashed bool `cbor:"9,keyasint,omitempty"`
 	// OverShare is set if no slot became free in time because the account of the call has used up its share of them.
 	OverShare bool `cbor:"14,keyasint,omitempty"`
+	// Ends is the share of the recent runs of the call's route at the backend server that ended badly, and FromOutside reports
+	// whether outside callers call the route.
+	Ends        chain.Report `cbor:"10,keyasint,omitempty"`
+	FromOutside bool         `cbor:"11,keyasint,omitempty"`
 	// nodeUnreachable is set by the sending node when the connection to the other node was lost before its answer.
 	nodeUnreachable bool
 	// repeatTaken is set by the sending node when the repeat of a call without answer was taken from the retry budget.
@@ -93,7 +98,7 @@
 // valid reports whether the outcome is known and the other fields are within their bounds.
 func (a answerMessage) valid() bool {
 	l := a.Load
-	return a.Outcome <= outcomeUnreadable && inRange(a.RanMicros, 1000*maxMillis) && inRange(a.WaitedMicros, 1000*maxMillis) &&
+	return a.Outcome <= outcomeUnreadable && a.Ends <= chain.MaxReport && inRange(a.RanMicros, 1000*maxMillis) && inRange(a.WaitedMicros, 1000*maxMillis) &&
 		inRange(l.WaitMS, maxMillis) && inRange(int64(l.Running), maxReportedCalls) && inRange(int64(l.Waiting), maxReportedCalls) &&
 		inRange(int64(l.Limit), maxReportedCalls)
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -128,6 +128,7 @@
 	splits       routing.TrafficSplitter
 	retryBudgets retry.WindowBudgets
 	quarantine   quarantine.Table
+	chains       *chains
 	recovery     recovery
 	// configLag and directoryLag record how long this node has been behind another one.
 	configLag, directoryLag lag
@@ -193,6 +194,10 @@
 	n.service = o.Settings.Service
 	n.retryBudgets = retry.WindowBudgets{Ratio: o.Settings.RepeatRatio, Fixed: float64(o.Settings.RepeatsAllowed),
 		Length: o.Settings.RepeatWindow}
+	if o.Settings.WholeChains {
+		n.chains = &chains{}
+	}
+	n.chooser.CompareInRegion = o.Settings.CompareFailures
 	n.memory = memory.New(memoryLimit(o.Settings.MemoryMB))
 	n.answerSizes = kernel.NewLRU[string, int64](maxAnswerSizes)
 	n.backend = newBackend(n, o.Settings.BackendServer)
@@ -369,6 +374,12 @@
 		candidates = append(candidates, candidateOf(self))
 	}
 	n.chooser.Update(home, candidates)
+	if n.chains != nil {
+		n.chains.nodes = map[string]int{}
+		for _, c := range candidates {
+			n.chains.nodes[c.Service]++
+		}
+	}
 	return n.directory.Neighbours(n.settings.CallsAddress, n.settings.Region, neighboursPerRing)
 }
 
