Limit the calls on a backend server to what it works best at

Cause: a node runs as many calls as its backend server announces slots; callers learn the speed of a backend server from single answers only, and nothing from calls that time out. Change: with learn-capacity = on a node feeds package capacity and limits its queue by it. Load reports hold the expected run time of the call's route; the chooser goes by it, and by calls that are overdue. Off by default.

--- a/capacity/search.go
+++ b/capacity/search.go
@@ -7,7 +7,7 @@
 
 const (
 	// minWindow and maxWindow bound the length of a window. Within them it lasts as long as a run takes.
-	minWindow = 100 * time.Millisecond
+	minWindow = 150 * time.Millisecond
 	maxWindow = 3 * time.Second
 	// fullRuns is the number of completed runs that close a window, and enoughRuns the number without which it is no evidence.
 	fullRuns   = 30
@@ -24,14 +24,17 @@
 	// suspectRatio is the run time relative to the least one from which on a lower limit may do as much work: half as long
 	// again exceeds what the work of a window varies by.
 	suspectRatio = 1.5
-	// suspectWindows is the number of consecutive slow windows that start a trial, because a single one is often chance.
-	suspectWindows = 2
+	// suspectTime is how long the windows have to call for another limit until a trial starts: a passing delay, as of a garbage
+	// collection, is shorter.
+	suspectTime = 800 * time.Millisecond
 	// healthyRatio is the run time relative to the least one up to which the limit grows without a trial.
 	healthyRatio = 1.15
 	// minStep and maxStep bound a lower limit that is tried, relative to the limit.
 	minStep, maxStep = 0.5, 0.75
 	// growthStep is the factor of the first step upwards, and maxGrowthStep that of steps that follow successes.
 	growthStep, maxGrowthStep = 1.25, 2
+	// minGrowth is the smallest factor by which the limit grows while a ceiling holds.
+	minGrowth = 1.08
 	// neutralElasticity is the elasticity of throughput at which a higher and a lower limit are equally good: an additional run
 	// has to do at least half of the work that a run in flight does.
 	neutralElasticity = 0.5
@@ -91,12 +94,15 @@
 // search is the state of the search for the best limit.
 type search struct {
 	trial *trial
-	// slowWindows counts the consecutive windows that call for a lower limit, and growWindows those that call for a higher one.
-	slowWindows, growWindows int
-	// ceiling is a limit that did less work than a lower one, until ceilingUntil.
+	// slowFor is the length of the consecutive windows that call for a lower limit, and growFor of those that call for a higher
+	// one, both in seconds.
+	slowFor, growFor float64
+	// ceiling is a limit that did less work than a lower one; 0 means none. From ceilingUntil on it is tried again.
 	ceiling      int
 	ceilingUntil time.Time
-	step         float64
+	// previous is the limit before the last growth, and step the factor of the next one.
+	previous int
+	step     float64
 	// nextGrowth and nextShrink are the times from which on a higher or, without a suspicion, a lower limit is tried.
 	nextGrowth, nextShrink   time.Time
 	growthPause, shrinkPause time.Duration
@@ -158,28 +164,37 @@
 		return
 	}
 	if !w.isFull() {
-		s.slowWindows, s.growWindows = 0, 0
+		s.slowFor, s.growFor = 0, 0
 		return
 	}
 	waited := w.waited >= waitingShare*w.seconds
 	slow := waited && l.limit > l.floor() && (known && ratio >= suspectRatio || !s.nextShrink.IsZero() && now.After(s.nextShrink))
 	if slow {
-		if s.slowWindows++; s.slowWindows >= suspectWindows {
-			s.slowWindows, s.growWindows = 0, 0
-			step := max(minStep, min(maxStep, 1/ratio))
-			s.trial = &trial{low: max(l.floor(), min(l.limit-1, int(step*float64(l.limit)))), high: l.limit}
+		if s.slowFor += w.seconds; s.slowFor >= suspectTime.Seconds() {
+			s.slowFor, s.growFor = 0, 0
+			s.trial = &trial{low: l.lowerLimit(ratio), high: l.limit}
 		}
 		return
 	}
-	s.slowWindows = 0
+	s.slowFor = 0
 	if s.nextShrink.IsZero() {
 		l.delayShrink(now)
 	}
 	if waited && l.limit < l.slots {
-		l.grow(now, known && ratio <= healthyRatio)
+		l.grow(now, w, known && ratio <= healthyRatio)
 	}
 }
 
+// lowerLimit returns the limit to compare the present one with, at which run times are as much longer than the least ones as
+// given: the one from before the last growth if it is near.
+func (l *Learner) lowerLimit(ratio float64) int {
+	low := int(max(minStep, min(maxStep, 1/ratio)) * float64(l.limit))
+	if previous := l.search.previous; previous < int(maxStep*float64(l.limit)) {
+		low = max(low, previous)
+	}
+	return max(l.floor(), min(l.limit-1, low))
+}
+
 // takeRunTimes updates the least run times of the routes. It returns the run time relative to the least one of the route that
 // slowed down least, and false if too few runs completed. Run times of a window that isn't full are kept until they are enough.
 func (l *Learner) takeRunTimes(full bool) (float64, bool) {
@@ -206,24 +221,32 @@
 	return least, !math.IsInf(least, 1)
 }
 
-// grow raises the limit at once while the runs are as short as ever, up to the ceiling, and starts a trial otherwise.
-func (l *Learner) grow(now time.Time, healthy bool) {
+// grow raises the limit at once while the runs are as short as ever, and starts a trial otherwise. Below a ceiling, each step goes
+// halfway towards it, and once it has expired, a trial decides.
+func (l *Learner) grow(now time.Time, w window, healthy bool) {
 	s := &l.search
 	s.step = min(maxGrowthStep, max(growthStep, s.step))
+	if !healthy {
+		s.step = growthStep
+	}
 	target := min(l.slots, max(l.limit+1, int(s.step*float64(l.limit))))
-	if now.After(s.ceilingUntil) {
-		s.ceiling = 0
+	expired := !now.Before(s.ceilingUntil)
+	if s.ceiling > 0 && !expired {
+		target = min(target, int(math.Sqrt(float64(l.limit*s.ceiling))))
+		if float64(target) < minGrowth*float64(l.limit) {
+			return
+		}
 	}
-	if healthy && (s.ceiling == 0 || target < s.ceiling) {
-		l.limit = target
-		s.step = min(maxGrowthStep, s.step*growthStep)
+	if healthy && (s.ceiling == 0 || !expired) {
+		s.previous, l.limit = l.limit, target
+		s.step *= growthStep
 		return
 	}
 	if now.Before(s.nextGrowth) {
 		return
 	}
-	if s.growWindows++; s.growWindows >= suspectWindows {
-		s.growWindows = 0
+	if s.growFor += w.seconds; s.growFor >= suspectTime.Seconds() {
+		s.growFor = 0
 		s.trial = &trial{low: l.limit, high: target, growing: true}
 	}
 }
@@ -232,7 +255,7 @@
 func (l *Learner) lower(now time.Time, limit, ceiling int) {
 	s := &l.search
 	l.limit = max(l.floor(), min(l.slots, limit))
-	s.ceiling, s.ceilingUntil, s.step = ceiling, now.Add(ceilingTTL), growthStep
+	s.ceiling, s.ceilingUntil, s.step, s.previous = ceiling, now.Add(ceilingTTL), growthStep, 0
 }
 
 func (l *Learner) continueTrial(now time.Time, w window) {
@@ -264,15 +287,15 @@
 	}
 }
 
-// decide sets the limit after a trial. Without enough evidence it stays.
+// decide sets the limit after a trial. If the evidence isn't decisive, neither limit does much more work, and the lower one is as
+// good as it appears.
 func (l *Learner) decide(now time.Time, t *trial) {
 	s := &l.search
 	higher := t.evidence >= decisive
-	lower := t.evidence <= -decisive
+	lower := t.evidence < 0
 	switch {
 	case t.growing && higher:
-		l.limit = t.high
-		s.step = min(maxGrowthStep, s.step*growthStep)
+		s.previous, l.limit, s.ceiling = l.limit, t.high, 0
 		s.growthPause = 0
 	case t.growing:
 		l.lower(now, t.low, t.high)
@@ -281,14 +304,17 @@
 	case lower:
 		l.lower(now, t.low, t.high)
 		s.shrinkPause, s.growthPause = 0, 0
+		l.delayShrink(now)
 		s.nextGrowth = now.Add(minGrowthPause)
-	default:
+	case higher:
 		// The backend server is slow for another reason than concurrency.
 		l.routes.Retain(func(_ string, r *route) bool {
 			r.least = max(r.least, r.last)
 			return true
 		})
 		l.delayShrink(now)
+	default:
+		l.delayShrink(now)
 	}
 }
 
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -39,6 +39,8 @@
 	regionWaitHalfLife  = time.Second
 	// ratioSmoothing is the weight of one answer in the moving average of a backend server's run time ratio.
 	ratioSmoothing = 0.1
+	// reportSmoothing is the weight of one reported run time in that average. A report covers many calls, but only of its route.
+	reportSmoothing = 0.5
 	// minRatio and maxRatio bound the run time ratio of one answer, because the work differs from call to call.
 	minRatio, maxRatio = 0.1, 8
 	// observationHalfLife is the half-life of the excess run time ratio and of the failure rate while no calls end, so that
@@ -92,6 +94,8 @@
 	MaxWait time.Duration
 	// CrossRegion and CrossZone report whether the call leaves its region or its availability zone.
 	CrossRegion, CrossZone bool
+	// Typical is the typical run time of the route.
+	Typical time.Duration
 }
 
 // Outcome is the observed result of a call: Answered, Capped, Unusable, Failed or Inconclusive.
@@ -172,6 +176,9 @@
 	// ratio is the moving average of the run time relative to the typical run time of the route; 0 while unknown.
 	ratio   float64
 	ratioAt time.Time
+	// reportedAt is the time of the last run time that the node reported. Until observationHalfLife later, ratio follows
+	// reports instead of single answers.
+	reportedAt time.Time
 	// failureRate is the moving average of the share of calls that failed.
 	failureRate   float64
 	failureRateAt time.Time
@@ -249,7 +256,7 @@
 	}
 	best.sentSinceReport++
 	return Choice{Address: best.candidate.Address, MaxWait: wait, CrossRegion: best.candidate.Place.Region != c.home.Region,
-		CrossZone: best.candidate.Place != c.home}, true
+		CrossZone: best.candidate.Place != c.home, Typical: c.TypicalRunTime(q.Route)}, true
 }
 
 func notNegative(d time.Duration) time.Duration { return max(d, 0) }
@@ -374,6 +381,13 @@
 	return ratio
 }
 
+// updateRatio moves the run time ratio towards an observed one.
+func (p *peer) updateRatio(now time.Time, observed, weight float64) {
+	ratio := p.runTimeRatio(now)
+	p.ratio = ratio + (min(maxRatio, max(minRatio, observed))-ratio)*weight
+	p.ratioAt = now
+}
+
 func (p *peer) isCapped(now time.Time, route string) bool {
 	if p.cappedUntil == nil {
 		return false
@@ -412,6 +426,27 @@
 	c.regionWaits[key] = regionWait{wait: average, at: now}
 }
 
+// RecordRunTime records the run time of a route's calls that a node expects at its backend server.
+func (c *Chooser) RecordRunTime(now time.Time, address, route string, d time.Duration) {
+	p, typical := c.peers[address], c.profile(route)
+	if p == nil || typical == nil {
+		return
+	}
+	p.updateRatio(now, d.Seconds()/typical.seconds, reportSmoothing)
+	p.reportedAt = now
+}
+
+// RecordOverdue records that a call has been running for a time without an answer.
+func (c *Chooser) RecordOverdue(now time.Time, address, route string, ran time.Duration) {
+	p, typical := c.peers[address], c.profile(route)
+	if p == nil || typical == nil || now.Sub(p.reportedAt) < loadReportTTL {
+		return
+	}
+	if ratio := ran.Seconds() / typical.seconds; ratio > p.runTimeRatio(now) {
+		p.updateRatio(now, ratio, ratioSmoothing)
+	}
+}
+
 // RecordOutcome records the outcome of a call to a backend server.
 func (c *Chooser) RecordOutcome(now time.Time, address string, o Outcome) {
 	p := c.peers[address]
@@ -458,9 +493,9 @@
 		return
 	}
 	ratio := min(maxRatio, max(minRatio, runTime/typical.seconds))
-	p.ratio = p.runTimeRatio(now)
-	p.ratio += (ratio - p.ratio) * ratioSmoothing
-	p.ratioAt = now
+	if now.Sub(p.reportedAt) >= observationHalfLife {
+		p.updateRatio(now, ratio, ratioSmoothing)
+	}
 	typical.seconds += (min(runTime, maxRatio*typical.seconds) - typical.seconds) * typicalSmoothing
 	typical.bytes += (float64(o.Bytes) - typical.bytes) * typicalSmoothing
 }
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -63,6 +63,7 @@
 	n.mu.Lock()
 	current, _ := n.tracker.Current()
 	transition := n.tracker.Observe(a.Backend, a.Sequence, a.Deregistered || a.Leaving)
+	n.recordColdStartLocked(a)
 	if transition == directory.NoTransition {
 		current, state := n.tracker.Current()
 		recorded := state != directory.Leaving || current != a.Backend || n.recovery.recordedDeparture == current
@@ -167,6 +168,7 @@
 			limit = min(limit, s.MaxConnections)
 		}
 	}
+	limit = n.learnedLimitLocked(limit)
 	n.queue.Open()
 	// Calls are queued only while all slots are in use, so a raised limit takes effect when a running call ends at the latest.
 	n.applyEventsAsync(n.queue.SetLimit(limit))
--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -84,6 +84,8 @@
 	Service string
 	Address string
 	Slots   int
+	// ColdRemaining is how much longer the backend server is slow after its start.
+	ColdRemaining time.Duration
 }
 
 // Row is a row of the operators' store.
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -138,6 +138,9 @@
 func (n *Node) choose(now time.Time, r *request, maxWait time.Duration) (dispatch.Choice, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if d := n.expectedRunTimeLocked(r.route.Name); d > 0 && r.service == n.service {
+		n.chooser.RecordRunTime(now, n.settings.CallsAddress, r.route.Name, d)
+	}
 	return n.chooser.Choose(now, dispatch.Query{Service: r.service, Route: r.route.Name, Objective: r.route.Objective,
 		Exclude: r.excluded, MaxWait: maxWait}, n.rand)
 }
@@ -167,6 +170,9 @@
 	if a.Load.Limit > 0 {
 		n.chooser.RecordLoad(now, address, a.Load.slots())
 	}
+	if a.Load.RunMicros > 0 {
+		n.chooser.RecordRunTime(now, address, r.route.Name, time.Duration(a.Load.RunMicros)*time.Microsecond)
+	}
 	var o dispatch.Outcome
 	switch a.Outcome {
 	case outcomeAnswered:
@@ -204,6 +210,8 @@
 	}
 	timer := time.NewTimer(r.deadline.Add(answerMargin).Sub(now))
 	defer timer.Stop()
+	overdue := n.newOverdueTimer(now, r, choice)
+	defer overdue.stop()
 	if choice.Address == n.settings.CallsAddress {
 		return n.attemptLocal(m, r.callerGone, timer.C)
 	}
@@ -233,6 +241,8 @@
 				return answerMessage{Outcome: outcomeLost, Reason: "node-silent", nodeUnreachable: true, repeatTaken: true}, nil
 			}
 			stalled = nil
+		case <-overdue.fired():
+			overdue.record(r)
 		case <-r.callerGone:
 			p.Cancel()
 			return answerMessage{}, failedResult{reason: "caller-left"}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -93,7 +93,7 @@
 	l := a.Load
 	return a.Outcome <= outcomeUnreadable && inRange(a.RanMicros, 1000*maxMillis) && inRange(a.WaitedMicros, 1000*maxMillis) &&
 		inRange(l.WaitMS, maxMillis) && inRange(int64(l.Running), maxReportedCalls) && inRange(int64(l.Waiting), maxReportedCalls) &&
-		inRange(int64(l.Limit), maxReportedCalls)
+		inRange(int64(l.Limit), maxReportedCalls) && inRange(l.RunMicros, 1000*maxMillis)
 }
 
 // maxReportedCalls bounds the counts of calls in a load report.
@@ -107,6 +107,8 @@
 	Waiting int   `cbor:"2,keyasint,omitempty"`
 	Limit   int   `cbor:"3,keyasint,omitempty"`
 	WaitMS  int64 `cbor:"4,keyasint,omitempty"`
+	// RunMicros is how long a call of the route that the report answers runs now, or 0 if that isn't learned.
+	RunMicros int64 `cbor:"5,keyasint,omitempty"`
 }
 
 func newLoadReport(l slots.Load) loadReport {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -138,8 +138,9 @@
 	// closed when one of them confirms that it keeps the departure.
 	departureAcks map[directory.Incarnation]chan struct{}
 	// slots and service are the last values that the own backend server announced.
-	slots   int
-	service string
+	slots    int
+	service  string
+	capacity learnedCapacity
 }
 
 // Start opens the node's listeners and serves requests until Stop or Abort.
@@ -315,6 +316,7 @@
 		}
 		n.expireQueued()
 		n.withdrawUnfinishable()
+		n.tickCapacity()
 		if count%idleTrimTicks == 0 {
 			n.backend.closeExpired(n.clock.Now())
 			n.reportMemory()
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -94,9 +94,11 @@
 	switch n.queue.Arrive(now, slots.Call{ID: j.id, Rank: j.m.Rank, LatestStart: latest}).(type) {
 	case slots.Start:
 		n.jobs[j.id] = j
+		n.observeLoadLocked(now)
 		n.startLocked(now, j)
 	case slots.Wait:
 		n.jobs[j.id] = j
+		n.observeLoadLocked(now)
 	case slots.Refuse:
 		n.releaseCapLocked(j)
 		return n.answerLocked(j, outcomeBusy, "busy"), true
@@ -128,6 +130,7 @@
 // answerLocked returns the answer to a job, with the current load of the queue.
 func (n *Node) answerLocked(j *job, o outcome, reason string) answerMessage {
 	a := answerMessage{Outcome: o, Reason: reason, Load: newLoadReport(n.queue.Load())}
+	a.Load.RunMicros = n.expectedRunTimeLocked(j.m.Route).Microseconds()
 	if !j.started.IsZero() {
 		a.WaitedMicros = j.started.Sub(j.arrived).Microseconds()
 	} else {
@@ -266,6 +269,7 @@
 		events = n.queue.Cancel(j.id)
 	}
 	callbacks := n.applyEventsLocked(now, events)
+	n.recordCapacityLocked(now, j, x, ran)
 	a := n.answerLocked(j, x.outcome, x.reason)
 	a.Status, a.Head, a.Body, a.RanMicros, a.Crashed = x.status, x.head, x.body, ran.Microseconds(), x.crashed
 	var reports []quarantine.Report
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -25,7 +25,7 @@
 		Required: []string{"deployment", "service", "availability-zone", "region", "backend-server", "callers-listen", "ready-listen",
 			"announce-listen", "calls-listen", "store"},
 		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window",
-			"pipelined-requests"},
+			"pipelined-requests", "learn-capacity"},
 	},
 }
 
@@ -64,6 +64,9 @@
 	RepeatWindow   time.Duration
 	// PipelinedRequests is the maximum number of unanswered requests of one connection of a caller; 0 means that it is not set.
 	PipelinedRequests int
+	// LearnCapacity makes the node limit the calls on its backend server to what that one works best at, and choose among backend
+	// servers by the run times that their nodes report.
+	LearnCapacity bool
 }
 
 // String returns all settings on one line, with field names.
@@ -122,6 +125,7 @@
 		RepeatWindow:     r.Duration(s, "repeat-window", maxRepeatWindow),
 
 		PipelinedRequests: r.Int(s, "pipelined-requests", 1, maxPipelined),
+		LearnCapacity:     r.onOff(s, "learn-capacity"),
 	}
 	if m.CallsAddress == "" {
 		m.CallsAddress = m.CallsListen
@@ -135,6 +139,15 @@
 	return m
 }
 
+// onOff parses a switch, which is off by default.
+func (r *reader) onOff(s inifile.Section, key string) bool {
+	v, ok := s.Value(key)
+	if ok && v.Text != "on" && v.Text != "off" {
+		r.Add(v.Line, fmt.Sprintf("%s = %s is neither on nor off", key, v.Text), "write on or off")
+	}
+	return v.Text == "on"
+}
+
 // ratio parses a number from 0 to 1.
 func (r *reader) ratio(s inifile.Section, key string) float64 {
 	v, ok := s.Value(key)
