--- a/capacity/learner.go
+++ b/capacity/learner.go
@@ -60,6 +60,8 @@
 	routes    *kernel.LRU[string, route]
 	// age is the sum of the ages of the runs in flight, and usualAge the moving average of their mean, in seconds.
 	age, usualAge float64
+	// observed is the time in which runs were in flight, in seconds.
+	observed float64
 	// meanRun is the moving average of the expected run times of completed runs, in seconds.
 	meanRun float64
 	window  window
@@ -124,8 +126,9 @@
 	l.age += float64(l.running) * elapsed
 	if running == 0 {
 		l.age = 0
-	} else {
-		l.usualAge += (l.age/float64(running) - l.usualAge) * min(1, elapsed/usualAgeMemory.Seconds())
+	} else if elapsed > 0 {
+		l.observed += elapsed
+		l.usualAge += (l.age/float64(running) - l.usualAge) * min(1, elapsed/min(l.observed, usualAgeMemory.Seconds()))
 	}
 	if now.After(l.window.start) {
 		l.window.add(min(elapsed, now.Sub(l.window.start).Seconds()), l.running, l.waiting, l.Limit())
@@ -187,7 +190,7 @@
 // overdue returns the mean age of the runs in flight relative to the usual one if it is conspicuous, and 1 otherwise. It shows
 // that a backend server has become slow before runs end that tell so.
 func (l *Learner) overdue() float64 {
-	if l.usualAge == 0 {
+	if l.usualAge == 0 || l.observed < usualAgeMemory.Seconds()/4 {
 		return 1
 	}
 	ratio := (l.age/l.usualAge + priorRuns) / float64(l.running+priorRuns)
--- a/capacity/search.go
+++ b/capacity/search.go
@@ -30,7 +30,7 @@
 	// healthyRatio is the run time relative to the least one up to which the limit grows without a trial.
 	healthyRatio = 1.15
 	// minStep and maxStep bound a lower limit that is tried, relative to the limit.
-	minStep, maxStep = 0.5, 0.75
+	minStep, maxStep = 0.5, 0.8
 	// growthStep is the factor of the first step upwards, and maxGrowthStep that of steps that follow successes.
 	growthStep, maxGrowthStep = 1.25, 2
 	// minGrowth is the smallest factor by which the limit grows while a ceiling holds.
@@ -188,8 +188,9 @@
 // lowerLimit returns the limit to compare the present one with, at which run times are as much longer than the least ones as
 // given: the one from before the last growth if it is near.
 func (l *Learner) lowerLimit(ratio float64) int {
-	low := int(max(minStep, min(maxStep, 1/ratio)) * float64(l.limit))
-	if previous := l.search.previous; previous < int(maxStep*float64(l.limit)) {
+	// If the excess grows with the square of the concurrency, this is where it begins.
+	low := int(max(minStep, min(maxStep, 1/math.Sqrt(ratio))) * float64(l.limit))
+	if previous := l.search.previous; previous <= int(maxStep*float64(l.limit)) {
 		low = max(low, previous)
 	}
 	return max(l.floor(), min(l.limit-1, low))
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -49,6 +49,8 @@
 	// observationHalfLife is the half-life of the excess run time ratio and of the failure rate while no calls end, so that
 	// a slow or failing backend server is tried again.
 	observationHalfLife = 3 * time.Second
+	// reportHalfLife is the half-life of a reported run time ratio above 1. It is shorter, since a single call brings a report.
+	reportHalfLife = time.Second
 	// failureSmoothing is the weight of one call in the moving average of a backend server's failure rate.
 	failureSmoothing = 0.15
 	// failurePenalty is the cost of a failure as a multiple of the objective: at best the call is late, at worst the work of
@@ -285,7 +287,7 @@
 		time.Duration(failurePenalty*p.currentFailureRate(now)*float64(objective))
 	// Utilization breaks ties between equal candidates, then random jitter does.
 	share := utilizationPenaltyShare
-	if now.Sub(p.reportedAt) < observationHalfLife {
+	if now.Sub(p.reportedAt) < loadReportTTL {
 		share = reportedUtilizationShare
 	}
 	run += time.Duration(share*p.utilization()*float64(typical)) + time.Duration(random.IntN(int(time.Millisecond)))
@@ -382,8 +384,11 @@
 	if p.ratio == 0 {
 		return 1
 	}
-	ratio := p.ratio
-	for age := now.Sub(p.ratioAt); age > observationHalfLife && ratio > 1; age -= observationHalfLife {
+	ratio, halfLife := p.ratio, observationHalfLife
+	if p.reportedAt.Equal(p.ratioAt) {
+		halfLife = reportHalfLife
+	}
+	for age := now.Sub(p.ratioAt); age > halfLife && ratio > 1; age -= halfLife {
 		ratio = 1 + (ratio-1)/2
 	}
 	return ratio
