Test learned capacity against patterns of load

Change: a lower limit has to do more work to be kept, a higher one too. Tests of load compare with all slots and with fixed limits. A test found that a limit stayed below the floor of raised slots; mended.

--- a/capacity/learner.go
+++ b/capacity/learner.go
@@ -88,10 +88,11 @@
 	if slots == l.slots {
 		return
 	}
-	if l.limit == l.slots || l.limit > slots {
+	if l.limit == l.slots {
 		l.limit = slots
 	}
 	l.slots = slots
+	l.limit = max(l.floor(), min(slots, l.limit))
 	l.search = search{}
 	l.window = window{start: now}
 }
--- a/capacity/load_test.go
+++ b/capacity/load_test.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strconv"
 	"testing"
@@ -113,7 +112,7 @@
 
 // play runs a load with a fixed limit, or with learned capacity if it is 0.
 func play(l load, fixed int) served {
-	random := rand.New(rand.NewPCG(2, 1))
+	random := rand.New(rand.NewPCG(1, 1))
 	jitter := kernel.NewRand(1)
 	servers := make([]*server, len(l.speeds))
 	var candidates []dispatch.Candidate
@@ -182,9 +181,6 @@
 			if fixed == 0 {
 				s.apply(t, s.queue.SetLimit(s.learner.Limit()))
 			}
-			if os.Getenv("TRACE") != "" && fixed == 0 && t%(400*time.Millisecond) == 0 {
-				println(i, t.String(), s.queue.Limit(), s.learner.SettledLimit(), s.queue.Load().Waiting, s.queue.Load().Running, s.learner.ExpectedRunTime("plain").Milliseconds())
-			}
 			if t > time.Second {
 				result.lowest = min(result.lowest, s.queue.Limit())
 			}
@@ -237,55 +233,99 @@
 func repeat(n int, speed func(time.Duration, int) float64) []func(time.Duration, int) float64 {
 	return slices.Repeat([]func(time.Duration, int) float64{speed}, n)
 }
-func TestX(t *testing.T) {
-	t.Run("two speeds", func(t *testing.T) {
-		compare(t, load{perSecond: 500, speeds: []func(time.Duration, int) float64{constant(0.5), constant(1.5)}})
-		compare(t, load{perSecond: 1500, speeds: []func(time.Duration, int) float64{constant(0.5), constant(1.5)}})
-		compare(t, load{perSecond: 2000, speeds: []func(time.Duration, int) float64{constant(0.5), constant(1.5)}})
-	})
-	t.Run("falls", func(t *testing.T) {
-		compare(t, load{perSecond: 600, speeds: repeat(1, func(_ time.Duration, n int) float64 { return min(1, math.Pow(60/float64(n), 2)) })})
-		compare(t, load{perSecond: 1200, speeds: append(repeat(1, func(_ time.Duration, n int) float64 { return min(1, math.Pow(60/float64(n), 2)) }), constant(1))})
-	})
-	t.Run("shares", func(t *testing.T) {
-		compare(t, load{perSecond: 600, speeds: repeat(1, func(_ time.Duration, n int) float64 { return min(1, 40/float64(n)) })})
-	})
-	t.Run("slow7", func(t *testing.T) {
-		s := append(repeat(5, constant(1)), during(8*time.Second, 15*time.Second, 0.2))
-		compare(t, load{perSecond: 2500, speeds: s})
-		compare(t, load{perSecond: 3600, speeds: s})
-		compare(t, load{perSecond: 3600, speeds: repeat(6, constant(1))})
-		compare(t, load{perSecond: 500, speeds: repeat(1, during(8*time.Second, 15*time.Second, 0.2))})
-	})
-	t.Run("all slow", func(t *testing.T) {
-		compare(t, load{perSecond: 2000, speeds: repeat(3, during(8*time.Second, 100*time.Second, 0.4))})
-	})
-	t.Run("nested", func(t *testing.T) {
-		e := func(t time.Duration) time.Duration {
-			if t > 10*time.Second {
-				return 400 * time.Millisecond
-			}
-			return 100 * time.Millisecond
+
+// falling loses throughput beyond 60 calls: at 100, it does three fifths of the work that it does at 60.
+func falling(_ time.Duration, n int) float64 { return min(1, math.Pow(60/float64(n), 2)) }
+
+// tolerated is the share of answers in time that callers may lose where a learned limit has nothing to gain. They repeat as many
+// calls without a fault of the system.
+const tolerated = 0.02
+
+// Guards against a slow backend server that gets as many calls as one that is three times as fast. Nearly all capacity is in use;
+// 99 of 100 answers have to come within the aim.
+func TestTwoSpeeds(t *testing.T) {
+	learned, all, _ := compare(t, load{perSecond: 1500, speeds: []func(time.Duration, int) float64{constant(0.5), constant(1.5)}})
+	require.GreaterOrEqual(t, learned.good, all.good-tolerated)
+	require.LessOrEqual(t, learned.p99, aim)
+}
+
+// Guards against filling all slots of a backend server that loses throughput at 60% of them. Demand exceeds what it can do at
+// best; callers need three quarters of that, also while the limit is sought.
+func TestThroughputFallsBeyondSixtyPercent(t *testing.T) {
+	learned, all, best := compare(t, load{perSecond: 600, speeds: repeat(1, falling)})
+	require.GreaterOrEqual(t, learned.good, 0.75*best.good)
+	require.Greater(t, learned.good, 2*all.good)
+	require.Less(t, learned.p99, all.p99)
+}
+
+// Guards against a limit that fits no two backend servers: one of them loses throughput at 60% of its slots, the other doesn't.
+// Together they can serve all calls, so 19 of 20 have to be answered in time.
+func TestOneOfTwoLosesThroughput(t *testing.T) {
+	learned, all, best := compare(t, load{perSecond: 1200, speeds: append(repeat(1, falling), constant(1))})
+	require.GreaterOrEqual(t, learned.good, 0.95)
+	require.Greater(t, learned.good, max(all.good, best.good))
+}
+
+// Guards against calls that go on to a backend server that turned slow, and against leaving it without calls once it is fast
+// again. The other five have room for all calls: the 99th percentile has to stay within 1.3 of that without a slow one.
+func TestOneOfSixIsSlowForSevenSeconds(t *testing.T) {
+	slowed := append(repeat(5, constant(1)), during(8*time.Second, 15*time.Second, 0.2))
+	l := load{perSecond: 3600, speeds: slowed, lasts: 20 * time.Second}
+	learned, all, _ := compare(t, l)
+	l.speeds = repeat(6, constant(1))
+	undisturbed := play(l, 0)
+	t.Logf("none slowed %+v", undisturbed)
+	require.LessOrEqual(t, learned.p99, undisturbed.p99*13/10)
+	require.GreaterOrEqual(t, learned.good, all.good)
+}
+
+// Guards against lower limits on backend servers that all turned slow for a reason other than concurrency: callers need what
+// all slots give.
+func TestAllTurnSlowTogether(t *testing.T) {
+	learned, all, _ := compare(t, load{perSecond: 2000, speeds: repeat(3, during(8*time.Second, time.Hour, 0.4))})
+	require.GreaterOrEqual(t, learned.good, all.good-tolerated)
+}
+
+// Guards against taking a backend server for slow whose runs wait for other services, which turned slow: callers of all routes
+// need the slots.
+func TestRunsWaitForNestedCalls(t *testing.T) {
+	elsewhere := func(t time.Duration) time.Duration {
+		if t > 10*time.Second {
+			return 400 * time.Millisecond
 		}
-		compare(t, load{perSecond: 350, speeds: repeat(1, constant(1)), nested: 0.5, elsewhere: e})
-		compare(t, load{perSecond: 300, speeds: repeat(1, constant(1)), nested: 1, elsewhere: e})
-	})
-	t.Run("cold", func(t *testing.T) {
-		compare(t, load{perSecond: 700, speeds: repeat(1, during(0, 6*time.Second, 0.5)), cold: 6 * time.Second})
-	})
-	t.Run("few", func(t *testing.T) {
-		compare(t, load{perSecond: 3, speeds: repeat(1, constant(1)), lasts: time.Minute})
-	})
-	t.Run("noise", func(t *testing.T) {
-		compare(t, load{perSecond: 600, speeds: repeat(1, func(t time.Duration, _ int) float64 {
-			if int(t/(600*time.Millisecond))%7 == 3 {
-				return 0.4
-			}
-			return 1
-		})})
-		compare(t, load{perSecond: 780, speeds: repeat(1, constant(1))})
-		compare(t, load{perSecond: 900, speeds: repeat(1, constant(1))})
-	})
+		return 100 * time.Millisecond
+	}
+	for _, nested := range []float64{0.5, 1} {
+		learned, all, _ := compare(t, load{perSecond: 325, speeds: repeat(1, constant(1)), nested: nested, elsewhere: elsewhere})
+		require.GreaterOrEqual(t, learned.good, all.good-tolerated)
+	}
 }
 
-var _ = require.True
+// Guards against a cold start that is taken for the steady state: the limit never falls.
+func TestColdStart(t *testing.T) {
+	l := load{perSecond: 700, speeds: repeat(1, during(0, 6*time.Second, 0.5)), cold: 6 * time.Second, lasts: 15 * time.Second}
+	learned, all, _ := compare(t, l)
+	require.GreaterOrEqual(t, learned.good, all.good-tolerated)
+	require.Equal(t, serverSlots, learned.lowest)
+}
+
+// Guards against a limit that falls in calm, on the evidence of few calls.
+func TestFewCalls(t *testing.T) {
+	learned, _, _ := compare(t, load{perSecond: 3, speeds: repeat(1, constant(1)), lasts: 2 * time.Minute})
+	require.Equal(t, serverSlots, learned.lowest)
+	require.GreaterOrEqual(t, learned.good, 1-tolerated)
+}
+
+// Guards against taking chance for a trend where nearly all slots are in use, and short delays of all runs for overload.
+func TestNoise(t *testing.T) {
+	pauses := func(t time.Duration, _ int) float64 {
+		if int(t/(600*time.Millisecond))%7 == 3 {
+			return 0.4
+		}
+		return 1
+	}
+	for _, l := range []load{{perSecond: 780, speeds: repeat(1, constant(1))}, {perSecond: 600, speeds: repeat(1, pauses)}} {
+		learned, all, _ := compare(t, l)
+		require.GreaterOrEqual(t, learned.good, all.good-tolerated)
+	}
+}
--- a/capacity/search.go
+++ b/capacity/search.go
@@ -30,14 +30,15 @@
 	// healthyRatio is the run time relative to the least one up to which the limit grows without a trial.
 	healthyRatio = 1.15
 	// minStep and maxStep bound a lower limit that is tried, relative to the limit.
-	minStep, maxStep = 0.5, 0.8
+	minStep, maxStep = 0.6, 0.8
 	// growthStep is the factor of the first step upwards, and maxGrowthStep that of steps that follow successes.
 	growthStep, maxGrowthStep = 1.25, 2
 	// minGrowth is the smallest factor by which the limit grows while a ceiling holds.
 	minGrowth = 1.08
-	// neutralElasticity is the elasticity of throughput at which a higher and a lower limit are equally good: an additional run
-	// has to do at least half of the work that a run in flight does.
-	neutralElasticity = 0.5
+	// shrinkElasticity is the elasticity of throughput below which the lower limit is better. It is negative, because throughput
+	// doesn't grow with concurrency either where runs wait for a full service further down the call graph: a lower limit would
+	// only reduce the share of this backend server there. growElasticity is that above which a higher limit is better.
+	shrinkElasticity, growElasticity = -0.1, 0.25
 	// pairBound limits the evidence of one pair of windows, and decisive is the evidence that ends a trial, so that it takes
 	// two pairs that agree.
 	pairBound = 0.5
@@ -280,7 +281,11 @@
 		low, high = w, first
 	}
 	if e, ok := elasticity(low, high); ok {
-		t.evidence += min(pairBound, max(-pairBound, e-neutralElasticity))
+		neutral := shrinkElasticity
+		if t.growing {
+			neutral = growElasticity
+		}
+		t.evidence += min(pairBound, max(-pairBound, e-neutral))
 	}
 	if math.Abs(t.evidence) >= decisive || t.windows >= 2*maxPairs {
 		s.trial = nil
@@ -288,12 +293,11 @@
 	}
 }
 
-// decide sets the limit after a trial. If the evidence isn't decisive, neither limit does much more work, and the lower one is as
-// good as it appears.
+// decide sets the limit after a trial. Without enough evidence it stays.
 func (l *Learner) decide(now time.Time, t *trial) {
 	s := &l.search
 	higher := t.evidence >= decisive
-	lower := t.evidence < 0
+	lower := t.evidence <= -decisive
 	switch {
 	case t.growing && higher:
 		s.previous, l.limit, s.ceiling = l.limit, t.high, 0
