--- /dev/null
+++ b/dispatch/capacity_test.go
@@ -0,0 +1,73 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagelane/dispatch"
+	"lovagelane/kernel"
+	"lovagelane/slots"
+)
+
+// reported returns a chooser for two equal backend servers whose route takes 100 ms.
+func reported() *dispatch.Chooser {
+	c := &dispatch.Chooser{}
+	c.Update(home, []dispatch.Candidate{{Address: "a", Service: "maps", Place: home, Slots: 10},
+		{Address: "b", Service: "maps", Place: home, Slots: 10}})
+	c.RecordOutcome(start, "a", dispatch.Answered{Route: "read", RunTime: 100 * time.Millisecond})
+	return c
+}
+
+// shareOf returns the share of calls that go to a backend server.
+func shareOf(t *testing.T, c *dispatch.Chooser, now time.Time, address string) float64 {
+	t.Helper()
+	n, random := 0, kernel.NewRand(1)
+	for range 100 {
+		if chooseWith(t, c, now, query, random).Address == address {
+			n++
+		}
+		for _, a := range []string{"a", "b"} {
+			c.RecordLoad(now, a, slots.Load{Limit: 10})
+		}
+	}
+	return float64(n) / 100
+}
+
+// Guards against a backend server whose node reports long run times and that is chosen until ten of its answers have shown them,
+// and against one that is never tried again.
+func TestReportedRunTimeDecidesAtOnceAndAges(t *testing.T) {
+	c := reported()
+	c.RecordRunTime(start, "a", "read", 800*time.Millisecond)
+	require.Zero(t, shareOf(t, c, start, "a"))
+	require.Positive(t, shareOf(t, c, start.Add(10*time.Second), "a"))
+}
+
+// Guards against single odd answers that count as much as the reports of the node, which cover all of its runs.
+func TestReportsGoBeforeSingleAnswers(t *testing.T) {
+	c := reported()
+	c.RecordRunTime(start, "a", "read", 100*time.Millisecond)
+	c.RecordRunTime(start, "b", "read", 100*time.Millisecond)
+	c.RecordOutcome(start, "a", dispatch.Answered{Route: "read", RunTime: 700 * time.Millisecond})
+	require.InDelta(t, 0.5, shareOf(t, c, start, "a"), 0.25)
+}
+
+// Guards against equal backend servers of which all callers choose the one whose reported run time is shorter by chance.
+func TestCallsSpreadDespiteSmallDifferences(t *testing.T) {
+	c := reported()
+	c.RecordRunTime(start, "a", "read", 95*time.Millisecond)
+	c.RecordRunTime(start, "b", "read", 105*time.Millisecond)
+	c.RecordLoad(start, "a", slots.Load{Running: 9, Limit: 10})
+	c.RecordLoad(start, "b", slots.Load{Running: 1, Limit: 10})
+	require.Equal(t, "b", choose(t, c, start, query).Address)
+}
+
+// Guards against a backend server that answers nothing in time and is chosen as before, since only answers are observations.
+func TestOverdueCallsAreObservations(t *testing.T) {
+	c := reported()
+	for range 5 {
+		c.RecordOverdue(start, "a", "read", 500*time.Millisecond)
+	}
+	require.Zero(t, shareOf(t, c, start, "a"))
+}
