--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -28,6 +28,9 @@
 	// utilizationPenaltyShare is the fraction of the typical run time that full utilization adds to the cost. It only breaks
 	// ties among backend servers of the same place.
 	utilizationPenaltyShare = 0.02
+	// reportedUtilizationShare is that fraction for a backend server whose run time is reported. The reports of equal ones differ
+	// by about a tenth by chance, and all callers read the same ones.
+	reportedUtilizationShare = 0.2
 	// defaultObjective is the objective of a route that configures none.
 	defaultObjective = time.Second
 	// loadReportTTL is the time in which a load report gives way to the average wait of its region, since other nodes fill the
@@ -39,11 +42,15 @@
 	regionWaitHalfLife  = time.Second
 	// ratioSmoothing is the weight of one answer in the moving average of a backend server's run time ratio.
 	ratioSmoothing = 0.1
+	// reportSmoothing is the weight of one reported run time in that average. A report covers many calls, but only of its route.
+	reportSmoothing = 0.5
 	// minRatio and maxRatio bound the run time ratio of one answer, because the work differs from call to call.
 	minRatio, maxRatio = 0.1, 8
 	// observationHalfLife is the half-life of the excess run time ratio and of the failure rate while no calls end, so that
 	// a slow or failing backend server is tried again.
 	observationHalfLife = 3 * time.Second
+	// reportHalfLife is the half-life of a reported run time ratio above 1. It is shorter, since a single call brings a report.
+	reportHalfLife = time.Second
 	// failureSmoothing is the weight of one call in the moving average of a backend server's failure rate.
 	failureSmoothing = 0.15
 	// chanceDeviations is the number of standard deviations up to which a difference of failure rates is taken for chance.
@@ -98,6 +105,8 @@
 	MaxWait time.Duration
 	// CrossRegion and CrossZone report whether the call leaves its region or its availability zone.
 	CrossRegion, CrossZone bool
+	// Typical is the typical run time of the route.
+	Typical time.Duration
 }
 
 // Outcome is the observed result of a call: Answered, Capped, Unusable, Failed or Inconclusive.
@@ -172,6 +181,7 @@
 type profile struct {
 	// seconds is the moving average of the run time, and bytes that of the size of request and answer; 0 means unknown.
 	seconds, bytes float64
+	answers        int
 }
 
 // peer holds the observations of a candidate.
@@ -184,6 +194,9 @@
 	// ratio is the moving average of the run time relative to the typical run time of the route; 0 while unknown.
 	ratio   float64
 	ratioAt time.Time
+	// reportedAt is the time of the last run time that the node reported. Until observationHalfLife later, ratio follows
+	// reports instead of single answers.
+	reportedAt time.Time
 	// failureRate is the moving average of the share of calls that failed.
 	failureRate   float64
 	failureRateAt time.Time
@@ -267,7 +280,7 @@
 	}
 	best.sentSinceReport++
 	return Choice{Address: best.candidate.Address, MaxWait: wait, CrossRegion: best.candidate.Place.Region != c.home.Region,
-		CrossZone: best.candidate.Place != c.home}, true
+		CrossZone: best.candidate.Place != c.home, Typical: c.TypicalRunTime(q.Route)}, true
 }
 
 func notNegative(d time.Duration) time.Duration { return max(d, 0) }
@@ -291,7 +304,11 @@
 	run := time.Duration(float64(typical)*p.runTimeRatio(now)) +
 		time.Duration(failurePenalty*c.expectedFailureRate(now, p)*float64(objective))
 	// Utilization breaks ties between equal candidates, then random jitter does.
-	run += time.Duration(utilizationPenaltyShare*p.utilization()*float64(typical)) + time.Duration(random.IntN(int(time.Millisecond)))
+	share := utilizationPenaltyShare
+	if now.Sub(p.reportedAt) < loadReportTTL {
+		share = reportedUtilizationShare
+	}
+	run += time.Duration(share*p.utilization()*float64(typical)) + time.Duration(random.IntN(int(time.Millisecond)))
 	return cost{run: run, wait: c.queueWait(now, p, typical), travel: c.travelCost(now, p, q.Route)}
 }
 
@@ -385,13 +402,23 @@
 	if p.ratio == 0 {
 		return 1
 	}
-	ratio := p.ratio
-	for age := now.Sub(p.ratioAt); age > observationHalfLife && ratio > 1; age -= observationHalfLife {
+	ratio, halfLife := p.ratio, observationHalfLife
+	if p.reportedAt.Equal(p.ratioAt) {
+		halfLife = reportHalfLife
+	}
+	for age := now.Sub(p.ratioAt); age > halfLife && ratio > 1; age -= halfLife {
 		ratio = 1 + (ratio-1)/2
 	}
 	return ratio
 }
 
+// updateRatio moves the run time ratio towards an observed one.
+func (p *peer) updateRatio(now time.Time, observed, weight float64) {
+	ratio := p.runTimeRatio(now)
+	p.ratio = ratio + (min(maxRatio, max(minRatio, observed))-ratio)*weight
+	p.ratioAt = now
+}
+
 func (p *peer) isCapped(now time.Time, route string) bool {
 	if p.cappedUntil == nil {
 		return false
@@ -478,6 +505,27 @@
 	c.regionWaits[key] = regionWait{wait: average, at: now}
 }
 
+// RecordRunTime records the run time of a route's calls that a node expects at its backend server.
+func (c *Chooser) RecordRunTime(now time.Time, address, route string, d time.Duration) {
+	p, typical := c.peers[address], c.profile(route)
+	if p == nil || typical == nil {
+		return
+	}
+	p.updateRatio(now, d.Seconds()/typical.seconds, reportSmoothing)
+	p.reportedAt = now
+}
+
+// RecordOverdue records that a call has been running for a time without an answer.
+func (c *Chooser) RecordOverdue(now time.Time, address, route string, ran time.Duration) {
+	p, typical := c.peers[address], c.profile(route)
+	if p == nil || typical == nil || now.Sub(p.reportedAt) < loadReportTTL {
+		return
+	}
+	if ratio := ran.Seconds() / typical.seconds; ratio > p.runTimeRatio(now) {
+		p.updateRatio(now, ratio, ratioSmoothing)
+	}
+}
+
 // RecordOutcome records the outcome of a call to a backend server.
 func (c *Chooser) RecordOutcome(now time.Time, address string, o Outcome) {
 	p := c.peers[address]
@@ -518,15 +566,20 @@
 		c.profiles = kernel.NewLRU[string, profile](maxRoutes)
 	}
 	typical := c.profiles.GetOrAdd(o.Route)
+	typical.answers++
 	runTime := max(o.RunTime.Seconds(), 1e-4)
 	if typical.seconds == 0 {
-		*typical = profile{seconds: runTime, bytes: float64(o.Bytes)}
+		typical.seconds, typical.bytes = runTime, float64(o.Bytes)
 		return
 	}
 	ratio := min(maxRatio, max(minRatio, runTime/typical.seconds))
-	p.ratio = p.runTimeRatio(now)
-	p.ratio += (ratio - p.ratio) * ratioSmoothing
-	p.ratioAt = now
-	typical.seconds += (min(runTime, maxRatio*typical.seconds) - typical.seconds) * typicalSmoothing
+	smoothing := typicalSmoothing
+	if now.Sub(p.reportedAt) >= observationHalfLife {
+		p.updateRatio(now, ratio, ratioSmoothing)
+	} else {
+		// Backend servers without a report are expected to be typical. An odd first answer must not set them apart.
+		smoothing = max(smoothing, 1/float64(typical.answers))
+	}
+	typical.seconds += (min(runTime, maxRatio*typical.seconds) - typical.seconds) * smoothing
 	typical.bytes += (float64(o.Bytes) - typical.bytes) * typicalSmoothing
 }
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -96,12 +96,15 @@
 	switch d := n.queue.Arrive(now, c).(type) {
 	case slots.Start:
 		n.jobs[j.id] = j
+		n.observeLoadLocked(now)
 		n.startLocked(now, j)
 	case slots.Wait:
 		n.jobs[j.id] = j
+		n.observeLoadLocked(now)
 	case slots.Displace:
 		n.jobs[j.id] = j
 		n.applyEventsAsync([]slots.Event{slots.Expired{ID: d.ID, OverShare: true}})
+		n.observeLoadLocked(now)
 	case slots.Refuse:
 		n.releaseCapLocked(j)
 		return n.busyLocked(j, "busy", d.OverShare), true
@@ -135,6 +138,7 @@
 	a := answerMessage{Outcome: o, Reason: reason, Load: newLoadReport(n.queue.Load())}
 	now := n.clock.Now()
 	n.chains.addReport(now, j.m.Route, &a)
+	a.Load.RunMicros = n.expectedRunTimeLocked(j.m.Route).Microseconds()
 	if !j.started.IsZero() {
 		a.WaitedMicros = j.started.Sub(j.arrived).Microseconds()
 	} else {
@@ -285,6 +289,7 @@
 		events = n.queue.Cancel(j.id)
 	}
 	callbacks := n.applyEventsLocked(now, events)
+	n.recordCapacityLocked(now, j, x, ran)
 	a := n.answerLocked(j, x.outcome, x.reason)
 	a.Status, a.Head, a.Body, a.RanMicros, a.Crashed = x.status, x.head, x.body, ran.Microseconds(), x.crashed
 	var reports []quarantine.Report
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -25,7 +25,7 @@
 		Required: []string{"deployment", "service", "availability-zone", "region", "backend-server", "callers-listen", "ready-listen",
 			"announce-listen", "calls-listen", "store"},
 		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window",
-			"pipelined-requests", "whole-chains", "give-way", "compare-failures"},
+			"pipelined-requests", "whole-chains", "give-way", "compare-failures", "learn-capacity"},
 	},
 }
 
@@ -73,6 +73,9 @@
 	// CompareFailures has the failure rate of a backend server count only as far as it differs from that of its region by more than
 	// chance explains.
 	CompareFailures bool
+	// LearnCapacity makes the node limit the calls on its backend server to what that one works best at, and choose among backend
+	// servers by the run times that their nodes report.
+	LearnCapacity bool
 }
 
 // String returns all settings on one line, with field names.
@@ -134,6 +137,7 @@
 		WholeChains:       r.Bool(s, "whole-chains"),
 		GiveWay:           r.Bool(s, "give-way"),
 		CompareFailures:   r.Bool(s, "compare-failures"),
+		LearnCapacity:     r.Bool(s, "learn-capacity"),
 	}
 	if v, ok := s.Value("give-way"); ok && m.GiveWay && !m.WholeChains {
 		r.Add(v.Line, "give-way needs the reports of whole-chains", "add whole-chains = yes")
