Divide allowances over all nodes by tokens of owners that lent parts limit

Cause: a quota over all nodes needs tokens that move to the nodes with demand and never exceed the limit.

--- /dev/null
+++ b/allowance/member_test.go
@@ -0,0 +1,209 @@
+package allowance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lovagelane/allowance"
+)
+
+const window = 5 * time.Second
+
+// bound is the number of requests that the operators' rules allow in a window.
+func bound(l allowance.Limit) float64 { return (l.Rate*window.Seconds()+l.Burst)*1.1 + 20 }
+
+// Guards against nodes that together admit more than an allowance in some window, whatever is lost, late, cut off, restarted,
+// paused or changed.
+// Mutations: updateShare counts leases without end; lend ignores lentUntil; Member.Return without the check of the epoch in
+// owner.handle; takeOwn ignores lentUntil; longestSince uses the steady clock alone.
+func TestNodesKeepTheAllowanceTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := allowance.Limit{Rate: rapid.Float64Range(1, 300).Draw(t, "rate"), Burst: rapid.Float64Range(0, 100).Draw(t, "burst")}
+		n := newNetwork(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 12).Draw(t, "nodes"), map[string]allowance.Limit{"k": limit, "other": limit})
+		pick := func(label string) int { return rapid.IntRange(0, len(n.members)-1).Draw(t, label) }
+		demand, at, returned := 0.0, -1, 0.0
+		pending := 0.0
+		for range rapid.IntRange(5, 25).Draw(t, "phases") {
+			switch rapid.IntRange(0, 12).Draw(t, "event") {
+			case 0:
+				demand, at = limit.Rate*rapid.Float64Range(0, 8).Draw(t, "demand"), pick("at")
+			case 1:
+				demand, at = limit.Rate*rapid.Float64Range(0, 8).Draw(t, "demand"), -1
+			case 2:
+				n.delay = time.Duration(rapid.IntRange(1, 600).Draw(t, "delay")) * time.Millisecond
+			case 3:
+				n.loss = rapid.Float64Range(0, 0.6).Draw(t, "loss")
+			case 4:
+				for i := range n.side {
+					n.side[i] = rapid.IntRange(0, 2).Draw(t, "side")
+				}
+			case 5:
+				n.side = make([]int, len(n.members))
+				n.loss, n.delay = 0, 30*time.Millisecond
+			case 6:
+				n.members[pick("killed")].up = false
+			case 7:
+				n.start(pick("restarted"))
+			case 8:
+				n.pause(pick("paused"), time.Duration(rapid.IntRange(50, 4000).Draw(t, "pause"))*time.Millisecond,
+					rapid.Bool().Draw(t, "suspended"))
+			case 9:
+				if len(n.members) < 16 {
+					n.add()
+					n.announce()
+				}
+			case 10:
+				returned = rapid.Float64Range(0, 1).Draw(t, "returned")
+			case 11:
+				n.members[pick("stepped")].wallStep += time.Duration(rapid.IntRange(-3000, 3000).Draw(t, "step")) * time.Millisecond
+			case 12:
+				n.announce()
+			}
+			n.advance(time.Duration(rapid.IntRange(50, 2500).Draw(t, "ms"))*time.Millisecond, func() {
+				for pending += demand * step.Seconds(); pending >= 1; pending-- {
+					i := at
+					if i < 0 {
+						i = n.rand.IntN(len(n.members))
+					}
+					n.request(i, "k", n.rand.Float64() < returned)
+				}
+			})
+		}
+		require.LessOrEqual(t, float64(n.mostInWindow("k", window)), bound(limit))
+	})
+}
+
+// Guards against a limit that was lowered and does not bind one window later.
+// Mutation: owner.setLimits without advanceAll under the new limits.
+func TestLoweredLimitBinds(t *testing.T) {
+	n := newNetwork(1, 8, map[string]allowance.Limit{"k": {Rate: 500, Burst: 300}})
+	demand := func() { n.request(n.rand.IntN(8), "k", false) }
+	n.advance(5*time.Second, demand)
+	require.Greater(t, len(n.used["k"]), 300)
+	low := allowance.Limit{Rate: 4, Burst: 2}
+	n.limits = map[string]allowance.Limit{"k": low}
+	n.announce()
+	n.advance(time.Second, demand)
+	n.used["k"] = nil
+	n.advance(15*time.Second, demand)
+	require.LessOrEqual(t, float64(n.mostInWindow("k", window)), bound(low))
+	require.Greater(t, len(n.used["k"]), 40, "the lowered limit is not used")
+	n.limits = map[string]allowance.Limit{"k": {Rate: 500, Burst: 300}}
+	n.announce()
+	n.advance(3*time.Second, demand)
+	n.used["k"], n.refused = nil, 0
+	n.advance(2*time.Second, demand)
+	require.Zero(t, n.refused, "the raised limit is not used")
+}
+
+// calm returns a network of the size of a deployment on which the owners are known.
+func calm(limits map[string]allowance.Limit) *network {
+	n := newNetwork(7, 86, limits)
+	n.advance(8*time.Second, nil)
+	return n
+}
+
+// Guards against requests within a limit that are refused since they arrive at another node than before: keys that send evenly
+// over all nodes, one request in 10 s to each node, at one node only, or everything at once after a pause.
+// Mutations: grant without w.Tokens; capacity returns half; expired tokens are not returned by expireTokens.
+func TestKeysWithinTheirLimitAreNotRefused(t *testing.T) {
+	n := calm(map[string]allowance.Limit{"even": {Rate: 100, Burst: 50}, "rare": {Rate: 10, Burst: 10}, "one": {Rate: 100, Burst: 50},
+		"pulse": {Rate: 10, Burst: 50}})
+	steps := 0
+	n.advance(30*time.Second, func() {
+		steps++
+		if steps%3 == 0 {
+			n.request(n.rand.IntN(86), "even", false)
+		}
+		if steps%23 == 0 {
+			n.request(steps/23%86, "rare", false)
+		}
+		if steps%3 == 1 {
+			n.request(17, "one", false)
+		}
+		if steps%2000 == 0 {
+			for i := range 40 {
+				n.request(i, "pulse", false)
+			}
+		}
+	})
+	n.advance(time.Second, nil)
+	require.Zero(t, n.refused)
+	require.Zero(t, n.unknown)
+	require.Greater(t, n.granted, 2000)
+	t.Logf("%d requests, %.1f messages a second for each node", n.granted, float64(n.messages)/40/86)
+}
+
+// Guards against an allowance that stays with the nodes that used it before: all demand of a key, over its limit, moves to
+// other nodes, which have the whole rate half a second later.
+// Mutation: tokenValidity of 10 s with an owner that grants spare tokens without spareLevel.
+func TestShiftOfDemandIsFollowed(t *testing.T) {
+	limit := allowance.Limit{Rate: 200, Burst: 100}
+	n := calm(map[string]allowance.Limit{"k": limit})
+	nodes := 0
+	demand := func() {
+		for range 4 { // 800 a second
+			n.request(nodes+n.rand.IntN(20), "k", false)
+		}
+	}
+	n.advance(5*time.Second, demand)
+	nodes = 40
+	n.advance(500*time.Millisecond, demand)
+	before := len(n.used["k"])
+	n.advance(5*time.Second, demand)
+	require.Greater(t, float64(len(n.used["k"])-before), 0.9*limit.Rate*5)
+}
+
+// Guards against a lost owner whose keys stay without tokens: the next owner takes over within 3 s.
+// Mutation: avoidSilent never avoids a node.
+func TestAnotherNodeTakesOverFromALostOwner(t *testing.T) {
+	limit := allowance.Limit{Rate: 100, Burst: 50}
+	n := newNetwork(3, 10, map[string]allowance.Limit{"k": limit})
+	n.advance(4*time.Second, nil)
+	for i, m := range n.members {
+		if fmt.Sprint("[", m.name, "]") == fmt.Sprint(n.members[(i+1)%10].Owners()) {
+			m.up = false
+		}
+	}
+	ask := func() {
+		if n.now%(4*step) == 0 {
+			n.request(n.rand.IntN(10), "k", false)
+		}
+	}
+	n.advance(3*time.Second, ask)
+	n.refused, n.unknown, n.granted = 0, 0, 0
+	n.advance(5*time.Second, ask)
+	require.Zero(t, n.unknown)
+	require.Zero(t, n.refused)
+	require.Greater(t, n.granted, 180)
+}
+
+// Guards against messages that name no group, key or node and crash a node or lend it something.
+// Mutation: Ask.valid returns true.
+func TestForgedMessagesAreIgnored(t *testing.T) {
+	limits := map[string]allowance.Limit{"k": {Rate: 1, Burst: 1}}
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(1, 2, limits)
+		n.advance(3*time.Second, nil)
+		m, now := n.members[0], n.reading(0)
+		number := rapid.IntRange(-2, 1<<40)
+		key := rapid.SampledFrom([]string{"k", "", "unknown"})
+		group := allowance.Group{Index: number.Draw(t, "index"), Count: rapid.SampledFrom([]int{0, 1, 2, 3, 1 << 20, -1}).Draw(t, "count")}
+		stamp := allowance.Stamp{Incarnation: m.Incarnation, At: allowance.Reading{Steady: time.Duration(rapid.Int64().Draw(t, "steady"))}}
+		a := allowance.Ask{Node: "stranger", Group: group, Number: rapid.Uint64().Draw(t, "number"), Lent: &stamp,
+			Wants:   []allowance.Want{{Key: key.Draw(t, "key"), Tokens: number.Draw(t, "tokens"), Spare: number.Draw(t, "spare")}},
+			Returns: []allowance.Return{{Key: key.Draw(t, "key"), Incarnation: m.Incarnation, Tokens: number.Draw(t, "tokens")}}}
+		r, ok := m.HandleAsk(now, a)
+		require.True(t, !ok || group.Index >= 0 && group.Index < group.Count)
+		r.Number, r.Node = rapid.Uint64().Draw(t, "number"), rapid.SampledFrom([]string{"node-0", "node-1"}).Draw(t, "node")
+		r.Grants = append(r.Grants, allowance.Grant{Key: key.Draw(t, "key"), Tokens: number.Draw(t, "tokens"), WaitMS: int64(number.Draw(t, "wait"))})
+		m.HandleReply(now, r)
+		n.flush(0)
+		n.advance(8*time.Second, func() { n.request(0, "k", false) })
+		require.LessOrEqual(t, float64(n.mostInWindow("k", window)), bound(limits["k"]))
+	})
+}
