Enforce the quotas of accounts over all nodes

Cause: requests of an account beyond its quota ran. Change: a request takes a token of its account's quota at the entry, before it is forwarded, and gets 429 with the time until a token is due, or 503 if no owner can be asked. Requests that are refused for another reason return their token. Asks and replies are gossip messages; link.Notify opens a connection if there is none, and those to owners are kept.

--- a/allowance/member.go
+++ b/allowance/member.go
@@ -356,7 +356,7 @@
 
 // takeOwn takes a token of the node's own part, which must not be lent.
 func (m *Member) takeOwn(now Reading, key string, k *keyState, s *groupState, l Limit) bool {
-	if s == nil || now.Steady < s.lentUntil || m.lentElsewhere(now, s) {
+	if s == nil || len(m.nodes) == 0 || now.Steady < s.lentUntil || m.lentElsewhere(now, s) {
 		return false
 	}
 	n := float64(max(len(m.nodes), 1))
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -290,6 +290,14 @@
 	eventually(t, func() bool { return restarted.hasReceived("status") })
 }
 
+// Guards against a notice that does not reach a node to which there is no connection yet.
+// Mutation: connected does not send Peer.notices.
+func TestNoticeOpensAConnection(t *testing.T) {
+	a, b := start(t, 1, "127.0.0.1:0"), start(t, 2, "127.0.0.1:0")
+	require.True(t, a.transport.Notify(b.address, []byte("ask")))
+	eventually(t, func() bool { return a.hasReceived("told") })
+}
+
 // Guards against bytes of another protocol that crash a node or keep a connection open.
 func TestOtherProtocolsAreRejected(t *testing.T) {
 	n := start(t, 1, "127.0.0.1:0")
--- a/link/peer.go
+++ b/link/peer.go
@@ -23,6 +23,8 @@
 	// minRedialBackoff and maxRedialBackoff bound the backoff between connection attempts.
 	minRedialBackoff = 100 * time.Millisecond
 	maxRedialBackoff = 2 * time.Second
+	// maxKeptNotices bounds the notices that are kept while a connection is opened.
+	maxKeptNotices = 64
 	// unreachableTimeout is how long connection attempts must fail before sent calls are reported as stalled.
 	unreachableTimeout = time.Second
 )
@@ -82,6 +84,8 @@
 	awaitingPong bool
 	// acked is the number in the last ack that was sent.
 	acked uint64
+	// notices are sent when the connection that is being opened is open.
+	notices [][]byte
 }
 
 // Call sends a call and returns at once. The result arrives on Done unless the call is cancelled.
@@ -186,6 +190,22 @@
 	return p.conn != nil && p.conn.send(frame{kind: kindNotice, payload: notice})
 }
 
+// notifyOnceConnected sends a notice, or keeps it until an attempt to connect ends.
+func (p *Peer) notifyOnceConnected(notice []byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastUsed = p.t.uptime()
+	if p.conn != nil {
+		return p.conn.send(frame{kind: kindNotice, payload: notice})
+	}
+	if len(p.notices) >= maxKeptNotices || !p.dialing && p.t.uptime() < p.redialAt {
+		return false
+	}
+	p.notices = append(p.notices, notice)
+	p.dialLocked()
+	return true
+}
+
 func (p *Peer) dialLocked() {
 	if p.dialing || p.t.group.Context().Err() != nil {
 		return
@@ -214,6 +234,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing = false
+	p.notices = nil
 	if p.failures == 0 {
 		p.firstFailure = p.t.uptime()
 	}
@@ -253,6 +274,10 @@
 	for _, c := range p.pending {
 		p.sendLocked(c)
 	}
+	for _, notice := range p.notices {
+		k.send(frame{kind: kindNotice, payload: notice})
+	}
+	p.notices = nil
 	p.t.group.Go("link-write", func(context.Context) error {
 		k.writeLoop()
 		return nil
--- a/link/transport.go
+++ b/link/transport.go
@@ -147,9 +147,10 @@
 	return p.unreachableFor()
 }
 
-// Notify sends a notice to a node if a connection is open, and reports whether it was sent.
+// Notify sends a notice to a node, and opens a connection if there is none. It reports false if the notice is lost already; it is
+// also lost if the connection breaks or can't be opened.
 func (t *Transport) Notify(address string, notice []byte) bool {
-	return t.Peer(address).notify(notice)
+	return t.Peer(address).notifyOnceConnected(notice)
 }
 
 func (t *Transport) maintain(ctx context.Context) error {
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/account"
+	"lovagelane/allowance"
 	"lovagelane/call"
 	"lovagelane/intake"
 	"lovagelane/kernel"
@@ -59,6 +60,8 @@
 	offeredWait map[string]time.Duration
 	// delivery is the memory reserved for the answer.
 	delivery *memory.Reservation
+	// token is what the request took of the quota of its account.
+	token allowance.Token
 	// mayHaveRun is set once a backend server's answer was lost.
 	mayHaveRun bool
 	// capped is set once a node refused the request because of the cap of its route.
@@ -69,7 +72,7 @@
 	nodesTried int
 }
 
-// result is the result of a request: servedResult, refusedResult, failedResult or unroutableResult.
+// result is the result of a request: servedResult, refusedResult, overQuotaResult, failedResult or unroutableResult.
 type result interface{ result() }
 
 // servedResult is an answer of a backend server.
@@ -106,8 +109,11 @@
 	}
 	if res == nil {
 		r.callerGone = x.Gone
-		res = n.forward(r)
-		n.holdDelivery(x, r, res)
+		if res = n.takeQuota(r); res == nil {
+			res = n.forward(r)
+			n.returnQuota(r, res)
+			n.holdDelivery(x, r, res)
+		}
 	}
 	n.writeResult(x, r, res)
 }
@@ -215,6 +221,8 @@
 		writeError(x.Response, fasthttp.StatusServiceUnavailable, res.reason)
 		x.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterValue(retryAfter))
 		n.logOutcome("request-refused", r, fasthttp.StatusServiceUnavailable, res.reason, "retry-after", retryAfter)
+	case overQuotaResult:
+		n.writeOverQuota(x.Response, r, res)
 	case failedResult:
 		status := fasthttp.StatusBadGateway
 		if res.timeout {
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -113,6 +113,9 @@
 		n.log.Warn("notice-malformed", "error", err)
 		return
 	}
+	if m.Allowance != nil {
+		n.handleAllowance(*m.Allowance, reply)
+	}
 	if m.PullSince != nil {
 		n.sendUpdates(*m.PullSince, reply)
 	}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"lovagelane/allowance"
 	"lovagelane/directory"
 	"lovagelane/kernel"
 	"lovagelane/quarantine"
@@ -149,6 +150,8 @@
 	Node *directory.Node `cbor:"9,keyasint,omitempty"`
 	// DirectoryVersion is the directory version of the sender, which Rows brings the receiver up to.
 	DirectoryVersion uint64 `cbor:"10,keyasint,omitempty"`
+	// Allowance asks for or grants tokens of quotas.
+	Allowance *allowance.Message `cbor:"11,keyasint,omitempty"`
 }
 
 // departure records that the backend server beside a node is leaving: it takes no new calls, also after a restart of the
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
+	"lovagelane/allowance"
 	"lovagelane/balance"
 	"lovagelane/directory"
 	"lovagelane/dispatch"
@@ -113,6 +114,7 @@
 	requestCutoff atomic.Pointer[time.Time]
 	// callCutoff is set in the first phase of Stop: calls of other nodes are accepted only with an earlier deadline.
 	callCutoff atomic.Pointer[time.Time]
+	quotas     quotas
 
 	mu sync.Mutex
 	// configText is the encoded configuration in force, as read from the store. It is sent to other nodes.
@@ -203,6 +205,7 @@
 		WriteTimeout: callerWriteTimeout, Slow: n.handleSlowCaller}
 	n.transport = &link.Transport{Clock: n.clock, Log: n.log, Handler: n, Incarnation: random}
 	n.recovery.started = n.clock.Now()
+	n.quotas.member = allowance.Member{Address: o.Settings.CallsAddress, Incarnation: random, Started: n.reading()}
 	return n, nil
 }
 
@@ -315,6 +318,7 @@
 		}
 		n.expireQueued()
 		n.withdrawUnfinishable()
+		n.tickQuotas()
 		if count%idleTrimTicks == 0 {
 			n.backend.closeExpired(n.clock.Now())
 			n.reportMemory()
@@ -367,7 +371,7 @@
 		candidates = append(candidates, candidateOf(self))
 	}
 	n.chooser.Update(home, candidates)
-	return n.directory.Neighbours(n.settings.CallsAddress, n.settings.Region, neighboursPerRing)
+	return n.persistentPeersLocked()
 }
 
 func candidateOf(node directory.Node) dispatch.Candidate {
@@ -394,6 +398,7 @@
 	}
 	n.config.Store(cfg)
 	n.configText = value
+	n.setQuotas(cfg)
 	peers := n.backendStateChangedLocked()
 	n.mu.Unlock()
 	n.transport.SetPersistentPeers(peers)
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -196,6 +196,7 @@
 // again if needed.
 func (n *Node) handleDirectoryChange() {
 	n.mu.Lock()
+	n.setQuotaNodesLocked()
 	peers := n.updateCandidatesLocked()
 	own, known := n.directory.Entry(n.settings.CallsAddress)
 	if known && own.Node.State == directory.Leaving {
