Use nine tenths of the retry budget and count calls of repeated runs

Cause: nodes used half of the allowed repeats everywhere, as a reserve for the calls that repeated runs make further down, also where no run was repeated. A window of ten buckets also forgot repeats up to a second too early. Change: a call carries the probability that its run is a repeat; nodes count runs of their backend server by it, and count each call that may come from there as a repeat with the share of repeats among the runs. Requests of accounts and those for the node's own service come from callers. The usable share is 0.92; repeats stay in the window for one bucket longer.

--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -60,6 +60,8 @@
 	offeredWait map[string]time.Duration
 	// delivery is the memory reserved for the answer.
 	delivery *memory.Reservation
+	// repeated is the probability that a repeated run has made the request, which may be a call of the own backend server.
+	repeated float64
 	// token is what the request took of the quota of its account.
 	token allowance.Token
 	// mayHaveRun is set once a backend server's answer was lost.
@@ -185,7 +187,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r.service = n.splits.Next(r.route, n.rand)
-	n.retryBudgets.CountRequest(now, r.service)
+	if r.account.Name != "" || r.service == n.service {
+		n.retryBudgets.CountRequest(now, r.service)
+	} else {
+		r.repeated = n.retryBudgets.CountCall(now, r.service)
+	}
 	r.maxWait = maxQueueWait(r.route, r.rank, remaining, n.chooser.TypicalRunTime(r.route.Name), n.config.Load().LeastImportantRank())
 }
 
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -196,7 +196,10 @@
 func (n *Node) attempt(now time.Time, r *request, choice dispatch.Choice) (answerMessage, result) {
 	m := callMessage{Service: r.service, Route: r.route.Name, RequestID: r.id, Caller: n.settings.Service, Account: r.account.Name, Rank: r.rank,
 		Idempotent: r.route.Idempotent, RemainingMS: r.deadline.Sub(now).Milliseconds(),
-		WaitMS: choice.MaxWait.Milliseconds(), Digest: r.digest, Head: r.head, Body: r.body}
+		WaitMS: choice.MaxWait.Milliseconds(), Digest: r.digest, Head: r.head, Body: r.body, Repeated: r.repeated}
+	if r.sent > 0 {
+		m.Repeated = 1
+	}
 	if choice.CrossRegion {
 		n.metrics.Add("calls-to-other-regions", 1, r.service)
 	} else if choice.CrossZone {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -29,6 +29,8 @@
 	Body []byte `cbor:"12,keyasint,omitempty"`
 	// Account is the name of the client account, or empty if there is none.
 	Account string `cbor:"13,keyasint,omitempty"`
+	// Repeated is the probability, from 0 to 1, that the run is a repeat or was called by one.
+	Repeated float64 `cbor:"14,keyasint,omitempty"`
 }
 
 // outcome is the result of a call at the node that received it.
@@ -86,7 +88,7 @@
 
 // valid reports whether the fields are within their bounds.
 func (m callMessage) valid() bool {
-	return inRange(m.RemainingMS, maxMillis) && inRange(m.WaitMS, maxMillis)
+	return inRange(m.RemainingMS, maxMillis) && inRange(m.WaitMS, maxMillis) && m.Repeated >= 0 && m.Repeated <= 1
 }
 
 // valid reports whether the outcome is known and the other fields are within their bounds.
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -139,6 +139,7 @@
 // startLocked runs a job on a worker, or on its own goroutine if the queue of the workers is full.
 func (n *Node) startLocked(now time.Time, j *job) {
 	j.started, j.running = now, true
+	n.retryBudgets.CountRun(now, j.m.Repeated)
 	if !n.pool.Submit(func() { n.runJob(j) }) {
 		n.log.Error("no-worker", "workers", maxWorkers)
 		n.group.Go("run", n.runTask(j))
--- a/retry/window.go
+++ b/retry/window.go
@@ -7,11 +7,13 @@
 )
 
 const (
-	// windowBuckets is the number of buckets of a sliding window.
+	// windowBuckets is the number of buckets of a sliding window, without the one that is being filled.
 	windowBuckets = 10
-	// usableShare is the share of the allowed repeats that nodes use. The rest is reserved for repeats that nodes cannot see,
-	// such as a backend server that repeats its own calls, and for nodes whose windows start at different times.
-	usableShare = 0.5
+	// recentBuckets is the number of buckets, with the one being filled, whose runs predict the calls that runs make now.
+	recentBuckets = 3
+	// usableShare is the share of the allowed repeats that nodes use. The rest is reserved for repeats that arrive later than they
+	// were counted, so that more of them arrive in some window.
+	usableShare = 0.92
 	// maxWindowServices bounds the number of services that have a window.
 	maxWindowServices = 1024
 )
@@ -19,6 +21,9 @@
 // WindowBudgets bounds the repeats that all nodes together send to each service in a sliding window. A repeat is a further
 // attempt of a request by a node. The nodes do not coordinate: every node uses the part that its own requests allow, and its
 // part of the fixed allowance. The caller serializes access to it. Its zero value allows no repeats.
+//
+// The calls that a repeated run makes are repeats too, at the services that are called. Nothing links a call to the run that made
+// it. So each call counts as a repeat by the probability that a run of the node's own backend server was one.
 type WindowBudgets struct {
 	// Ratio is the allowed number of repeats relative to the number of requests in a window.
 	Ratio float64
@@ -28,13 +33,16 @@
 	Length time.Duration
 
 	services *kernel.LRU[string, window]
+	// runs counts the runs of the own backend server as requests, and the repeated ones among them as repeats.
+	runs window
 }
 
+// window counts in buckets. The oldest bucket counts for repeats alone, since the window may begin within it.
 type window struct {
 	bucketStart time.Time
 	bucket      int
-	requests    [windowBuckets]float64
-	repeats     [windowBuckets]float64
+	requests    [windowBuckets + 1]float64
+	repeats     [windowBuckets + 1]float64
 }
 
 // CountRequest counts a request for a service.
@@ -44,6 +52,30 @@
 	}
 }
 
+// CountCall counts a request for a service that may be a call of the own backend server. It returns the probability that the call
+// was made by a repeated run, from 0 to 1, by which it counts as a repeat.
+func (w *WindowBudgets) CountCall(now time.Time, service string) float64 {
+	s := w.advance(now, service)
+	if s == nil {
+		return 0
+	}
+	w.runs.advance(now, w.Length)
+	repeated := w.runs.repeatedShare()
+	s.requests[s.bucket]++
+	s.repeats[s.bucket] += repeated
+	return repeated
+}
+
+// CountRun counts a run of the own backend server and the probability, from 0 to 1, that it is a repeat or was called by one.
+func (w *WindowBudgets) CountRun(now time.Time, repeated float64) {
+	if w.Length <= 0 {
+		return
+	}
+	w.runs.advance(now, w.Length)
+	w.runs.requests[w.runs.bucket]++
+	w.runs.repeats[w.runs.bucket] += repeated
+}
+
 // Withdraw reports whether the budget allows a repeat, and counts it if so. The cost is the number of calls that the repeat
 // causes at the service, and nodes is the number of nodes that share the fixed allowance.
 func (w *WindowBudgets) Withdraw(now time.Time, service string, cost float64, nodes int) bool {
@@ -51,11 +83,8 @@
 	if s == nil {
 		return false
 	}
-	requests, repeats := 0.0, 0.0
-	for i := range windowBuckets {
-		requests += s.requests[i]
-		repeats += s.repeats[i]
-	}
+	requests, repeats := s.sums(windowBuckets)
+	repeats += s.repeats[s.oldest()]
 	if repeats+cost > usableShare*(w.Ratio*requests+w.Fixed/float64(max(nodes, 1))) {
 		return false
 	}
@@ -72,15 +101,43 @@
 		w.services = kernel.NewLRU[string, window](maxWindowServices)
 	}
 	s := w.services.GetOrAdd(service)
-	bucketLength := w.Length / windowBuckets
+	s.advance(now, w.Length)
+	return s
+}
+
+// advance discards the expired buckets.
+func (s *window) advance(now time.Time, length time.Duration) {
+	bucketLength := length / windowBuckets
 	if s.bucketStart.IsZero() {
 		s.bucketStart = now
 	}
 	elapsedBuckets := int(now.Sub(s.bucketStart) / bucketLength)
-	for range min(elapsedBuckets, windowBuckets) {
-		s.bucket = (s.bucket + 1) % windowBuckets
+	for range min(elapsedBuckets, len(s.requests)) {
+		s.bucket = (s.bucket + 1) % len(s.requests)
 		s.requests[s.bucket], s.repeats[s.bucket] = 0, 0
 	}
 	s.bucketStart = s.bucketStart.Add(time.Duration(elapsedBuckets) * bucketLength)
-	return s
+}
+
+func (s *window) oldest() int { return (s.bucket + 1) % len(s.requests) }
+
+// sums returns the requests and repeats of the newest buckets.
+func (s *window) sums(buckets int) (requests, repeats float64) {
+	for i := range buckets {
+		bucket := (s.bucket + len(s.requests) - i) % len(s.requests)
+		requests += s.requests[bucket]
+		repeats += s.repeats[bucket]
+	}
+	return requests, repeats
+}
+
+// repeatedShare returns the share of repeats in the last seconds or in the whole window, whichever is higher.
+func (s *window) repeatedShare() float64 {
+	share := 0.0
+	for _, buckets := range []int{recentBuckets, windowBuckets} {
+		if requests, repeats := s.sums(buckets); requests > 0 {
+			share = max(share, repeats/requests)
+		}
+	}
+	return share
 }
