--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/account"
+	"lovagelane/allowance"
 	"lovagelane/call"
 	"lovagelane/intake"
 	"lovagelane/kernel"
@@ -61,6 +62,10 @@
 	vain kernel.Set[string]
 	// delivery is the memory reserved for the answer.
 	delivery *memory.Reservation
+	// repeated is the probability that a repeated run has made the request, which may be a call of the own backend server.
+	repeated float64
+	// token is what the request took of the quota of its account.
+	token allowance.Token
 	// mayHaveRun is set once a backend server's answer was lost.
 	mayHaveRun bool
 	// capped is set once a node refused the request because of the cap of its route.
@@ -73,7 +78,7 @@
 	nodesTried int
 }
 
-// result is the result of a request: servedResult, refusedResult, failedResult or unroutableResult.
+// result is the result of a request: servedResult, refusedResult, overQuotaResult, failedResult or unroutableResult.
 type result interface{ result() }
 
 // servedResult is an answer of a backend server.
@@ -110,8 +115,11 @@
 	}
 	if res == nil {
 		r.callerGone = x.Gone
-		res = n.forward(r)
-		n.holdDelivery(x, r, res)
+		if res = n.takeQuota(r); res == nil {
+			res = n.forward(r)
+			n.returnQuota(r, res)
+			n.holdDelivery(x, r, res)
+		}
 	}
 	n.writeResult(x, r, res)
 }
@@ -183,7 +191,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r.service = n.splits.Next(r.route, n.rand)
-	n.retryBudgets.CountRequest(now, r.service)
+	if r.account.Name != "" || r.service == n.service {
+		n.retryBudgets.CountRequest(now, r.service)
+	} else {
+		r.repeated = n.retryBudgets.CountCall(now, r.service)
+	}
 	r.maxWait = maxQueueWait(r.route, r.rank, remaining, n.chooser.TypicalRunTime(r.route.Name), n.config.Load().LeastImportantRank())
 }
 
@@ -220,6 +232,8 @@
 		x.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterValue(retryAfter))
 		n.logOutcome("request-refused", r, fasthttp.StatusServiceUnavailable, res.reason, "retry-after", retryAfter)
 		n.countAccount(r, "refused/"+res.reason, r.waited)
+	case overQuotaResult:
+		n.writeOverQuota(x.Response, r, res)
 	case failedResult:
 		status := fasthttp.StatusBadGateway
 		if res.timeout {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"lovagelane/allowance"
 	"lovagelane/chain"
 	"lovagelane/directory"
 	"lovagelane/kernel"
@@ -29,6 +30,8 @@
 	Body []byte `cbor:"12,keyasint,omitempty"`
 	// Account is the name of the client account, or empty if there is none.
 	Account string `cbor:"13,keyasint,omitempty"`
+	// Repeated is the probability, from 0 to 1, that the run is a repeat or was called by one.
+	Repeated float64 `cbor:"14,keyasint,omitempty"`
 }
 
 // outcome is the result of a call at the node that received it.
@@ -92,7 +95,7 @@
 
 // valid reports whether the fields are within their bounds.
 func (m callMessage) valid() bool {
-	return inRange(m.RemainingMS, maxMillis) && inRange(m.WaitMS, maxMillis)
+	return inRange(m.RemainingMS, maxMillis) && inRange(m.WaitMS, maxMillis) && m.Repeated >= 0 && m.Repeated <= 1
 }
 
 // valid reports whether the outcome is known and the other fields are within their bounds.
@@ -158,6 +161,8 @@
 	Node *directory.Node `cbor:"9,keyasint,omitempty"`
 	// DirectoryVersion is the directory version of the sender, which Rows brings the receiver up to.
 	DirectoryVersion uint64 `cbor:"10,keyasint,omitempty"`
+	// Allowance asks for or grants tokens of quotas.
+	Allowance *allowance.Message `cbor:"11,keyasint,omitempty"`
 }
 
 // departure records that the backend server beside a node is leaving: it takes no new calls, also after a restart of the
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
+	"lovagelane/allowance"
 	"lovagelane/balance"
 	"lovagelane/directory"
 	"lovagelane/dispatch"
@@ -114,6 +115,7 @@
 	requestCutoff atomic.Pointer[time.Time]
 	// callCutoff is set in the first phase of Stop: calls of other nodes are accepted only with an earlier deadline.
 	callCutoff atomic.Pointer[time.Time]
+	quotas     quotas
 
 	mu sync.Mutex
 	// configText is the encoded configuration in force, as read from the store. It is sent to other nodes.
@@ -208,8 +210,9 @@
 		MaxConnections: maxCallerConnections, MaxPipelined: cmp.Or(o.Settings.PipelinedRequests, defaultPipelined),
 		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout,
 		WriteTimeout: callerWriteTimeout, Slow: n.handleSlowCaller}
-	n.transport = &link.Transport{Clock: n.clock, Log: n.log, Handler: n, Incarnation: random}
+	n.transport = &link.Transport{Clock: n.clock, Log: n.log, Handler: n, Incarnation: random, OnRefused: n.takeBackQuotas}
 	n.recovery.started = n.clock.Now()
+	n.quotas.member = allowance.Member{Address: o.Settings.CallsAddress, Incarnation: random, Started: n.reading()}
 	return n, nil
 }
 
@@ -323,6 +326,7 @@
 		n.expireQueued()
 		n.withdrawUnfinishable()
 		n.tickCapacity()
+		n.tickQuotas()
 		if count%idleTrimTicks == 0 {
 			n.backend.closeExpired(n.clock.Now())
 			n.reportMemory()
@@ -382,7 +386,7 @@
 			n.chains.nodes[c.Service]++
 		}
 	}
-	return n.directory.Neighbours(n.settings.CallsAddress, n.settings.Region, neighboursPerRing)
+	return n.persistentPeersLocked()
 }
 
 func candidateOf(node directory.Node) dispatch.Candidate {
@@ -409,6 +413,7 @@
 	}
 	n.config.Store(cfg)
 	n.configText = value
+	n.setQuotas(cfg)
 	peers := n.backendStateChangedLocked()
 	n.mu.Unlock()
 	n.transport.SetPersistentPeers(peers)
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -17,6 +17,8 @@
 	maxGrace          = 10 * time.Minute
 	maxRepeatWindow   = 10 * time.Minute
 	maxPipelined      = 1 << 10
+	maxQuotaWindow    = 10 * time.Second
+	maxQuotaSlack     = 1 << 20
 )
 
 var meshKinds = []inifile.Kind{
@@ -25,7 +27,8 @@
 		Required: []string{"deployment", "service", "availability-zone", "region", "backend-server", "callers-listen", "ready-listen",
 			"announce-listen", "calls-listen", "store"},
 		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window",
-			"pipelined-requests", "whole-chains", "give-way", "compare-failures", "learn-capacity"},
+			"pipelined-requests", "whole-chains", "give-way", "compare-failures", "learn-capacity",
+			"quota-window", "quota-over", "quota-slack"},
 	},
 }
 
@@ -76,6 +79,11 @@
 	// LearnCapacity makes the node limit the calls on its backend server to what that one works best at, and choose among backend
 	// servers by the run times that their nodes report.
 	LearnCapacity bool
+	// QuotaWindow, QuotaOver and QuotaSlack define by how much accounts may exceed their quotas: within QuotaWindow by a fraction
+	// QuotaOver and by QuotaSlack requests more. Without QuotaWindow they may not exceed them.
+	QuotaWindow time.Duration
+	QuotaOver   float64
+	QuotaSlack  int
 }
 
 // String returns all settings on one line, with field names.
@@ -138,6 +146,9 @@
 		GiveWay:           r.Bool(s, "give-way"),
 		CompareFailures:   r.Bool(s, "compare-failures"),
 		LearnCapacity:     r.Bool(s, "learn-capacity"),
+		QuotaWindow:       r.Duration(s, "quota-window", maxQuotaWindow),
+		QuotaOver:         r.ratio(s, "quota-over"),
+		QuotaSlack:        r.Int(s, "quota-slack", 0, maxQuotaSlack),
 	}
 	if v, ok := s.Value("give-way"); ok && m.GiveWay && !m.WholeChains {
 		r.Add(v.Line, "give-way needs the reports of whole-chains", "add whole-chains = yes")
