Let only large differences between reports and answers count

Change: a reported run time corrects the average of single answers only where they differ by half or more.

--- a/capacity/learner_test.go
+++ b/capacity/learner_test.go
@@ -54,8 +54,23 @@
 	require.LessOrEqual(t, l.Limit(), 45)
 }
 
-// Guards against a backend server that stops answering and is reported as fast as before until its first late answer, and
-// against one long run among many that makes it look slow.
+// Guards against a single long run that makes a backend server look slow.
+func TestOneLongRunIsNoSlowServer(t *testing.T) {
+	var l capacity.Learner
+	l.SetSlots(at(0), 100)
+	l.Update(at(0), 1, 0)
+	now := 100 * time.Millisecond
+	for ; now < 10*time.Second; now += 100 * time.Millisecond {
+		l.Finish(at(now), 100*time.Millisecond, capacity.Completed{Route: "r"})
+		l.Update(at(now), 1, 0)
+	}
+	for until := now + 300*time.Millisecond; now < until; now += 10 * time.Millisecond {
+		l.Update(at(now), 1, 0)
+	}
+	require.InDelta(t, 0.1, l.ExpectedRunTime("r").Seconds(), 0.02)
+}
+
+// Guards against a backend server that stops answering and is reported as fast as before until its first late answer.
 func TestRunsInFlightShowASlowServer(t *testing.T) {
 	var l capacity.Learner
 	l.SetSlots(at(0), 100)
--- a/capacity/search.go
+++ b/capacity/search.go
@@ -44,7 +44,7 @@
 	pairBound = 0.5
 	decisive  = 0.9
 	// maxPairs limits the pairs of a trial. A difference that takes more is too small to matter.
-	maxPairs = 6
+	maxPairs = 4
 	// ceilingTTL is how long a higher limit that did less work is avoided without a new trial.
 	ceilingTTL = 10 * time.Second
 	// minGrowthPause and maxGrowthPause bound the time after a step upwards that failed.
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -28,9 +28,6 @@
 	// utilizationPenaltyShare is the fraction of the typical run time that full utilization adds to the cost. It only breaks
 	// ties among backend servers of the same place.
 	utilizationPenaltyShare = 0.02
-	// reportedUtilizationShare is that fraction for a backend server whose run time is reported. The reports of equal ones differ
-	// by about a tenth by chance, and all callers read the same ones.
-	reportedUtilizationShare = 0.2
 	// defaultObjective is the objective of a route that configures none.
 	defaultObjective = time.Second
 	// loadReportTTL is the time in which a load report gives way to the average wait of its region, since other nodes fill the
@@ -42,8 +39,10 @@
 	regionWaitHalfLife  = time.Second
 	// ratioSmoothing is the weight of one answer in the moving average of a backend server's run time ratio.
 	ratioSmoothing = 0.1
-	// reportSmoothing is the weight of one reported run time in that average. A report covers many calls, but only of its route.
-	reportSmoothing = 0.5
+	// minReportedChange is the factor by which a reported run time has to differ from that average to change it, and
+	// reportSmoothing its weight. A report covers many calls, but only of its route.
+	minReportedChange = 1.5
+	reportSmoothing   = 0.5
 	// minRatio and maxRatio bound the run time ratio of one answer, because the work differs from call to call.
 	minRatio, maxRatio = 0.1, 8
 	// observationHalfLife is the half-life of the excess run time ratio and of the failure rate while no calls end, so that
@@ -169,7 +168,6 @@
 type profile struct {
 	// seconds is the moving average of the run time, and bytes that of the size of request and answer; 0 means unknown.
 	seconds, bytes float64
-	answers        int
 }
 
 // peer holds the observations of a candidate.
@@ -182,8 +180,7 @@
 	// ratio is the moving average of the run time relative to the typical run time of the route; 0 while unknown.
 	ratio   float64
 	ratioAt time.Time
-	// reportedAt is the time of the last run time that the node reported. Until observationHalfLife later, ratio follows
-	// reports instead of single answers.
+	// reportedAt is the time of the last reported run time that changed ratio.
 	reportedAt time.Time
 	// failureRate is the moving average of the share of calls that failed.
 	failureRate   float64
@@ -286,11 +283,7 @@
 	run := time.Duration(float64(typical)*p.runTimeRatio(now)) +
 		time.Duration(failurePenalty*p.currentFailureRate(now)*float64(objective))
 	// Utilization breaks ties between equal candidates, then random jitter does.
-	share := utilizationPenaltyShare
-	if now.Sub(p.reportedAt) < loadReportTTL {
-		share = reportedUtilizationShare
-	}
-	run += time.Duration(share*p.utilization()*float64(typical)) + time.Duration(random.IntN(int(time.Millisecond)))
+	run += time.Duration(utilizationPenaltyShare*p.utilization()*float64(typical)) + time.Duration(random.IntN(int(time.Millisecond)))
 	return cost{run: run, wait: c.queueWait(now, p, typical), travel: c.travelCost(now, p, q.Route)}
 }
 
@@ -439,13 +432,19 @@
 	c.regionWaits[key] = regionWait{wait: average, at: now}
 }
 
-// RecordRunTime records the run time of a route's calls that a node expects at its backend server.
+// RecordRunTime records the run time of a route's calls that a node expects at its backend server. A report that differs little
+// from what single answers show has no effect: all callers receive the same reports, and following each of their small changes
+// would send all calls to the same backend server.
 func (c *Chooser) RecordRunTime(now time.Time, address, route string, d time.Duration) {
 	p, typical := c.peers[address], c.profile(route)
 	if p == nil || typical == nil {
 		return
 	}
-	p.updateRatio(now, d.Seconds()/typical.seconds, reportSmoothing)
+	observed := d.Seconds() / typical.seconds
+	if change := observed / p.runTimeRatio(now); change < minReportedChange && change > 1/minReportedChange {
+		return
+	}
+	p.updateRatio(now, observed, reportSmoothing)
 	p.reportedAt = now
 }
 
@@ -500,20 +499,13 @@
 		c.profiles = kernel.NewLRU[string, profile](maxRoutes)
 	}
 	typical := c.profiles.GetOrAdd(o.Route)
-	typical.answers++
 	runTime := max(o.RunTime.Seconds(), 1e-4)
 	if typical.seconds == 0 {
-		typical.seconds, typical.bytes = runTime, float64(o.Bytes)
+		*typical = profile{seconds: runTime, bytes: float64(o.Bytes)}
 		return
 	}
 	ratio := min(maxRatio, max(minRatio, runTime/typical.seconds))
-	smoothing := typicalSmoothing
-	if now.Sub(p.reportedAt) >= observationHalfLife {
-		p.updateRatio(now, ratio, ratioSmoothing)
-	} else {
-		// Backend servers without a report are expected to be typical. An odd first answer must not set them apart.
-		smoothing = max(smoothing, 1/float64(typical.answers))
-	}
-	typical.seconds += (min(runTime, maxRatio*typical.seconds) - typical.seconds) * smoothing
+	p.updateRatio(now, ratio, ratioSmoothing)
+	typical.seconds += (min(runTime, maxRatio*typical.seconds) - typical.seconds) * typicalSmoothing
 	typical.bytes += (float64(o.Bytes) - typical.bytes) * typicalSmoothing
 }
