Start no trial at the beginning of a surge, and account ages exactly

Cause: the time of the next trial without a suspicion passed in calm, so that each surge began with a lower limit; the age of runs in flight was cut off at zero before the time since the last update was added. Change: that time starts anew after a window that wasn't full; the age is bounded only after both.

--- a/capacity/learner.go
+++ b/capacity/learner.go
@@ -124,7 +124,7 @@
 		l.updated, l.window.start = now, now
 	}
 	elapsed := max(now.Sub(l.updated), 0).Seconds()
-	l.age += float64(l.running) * elapsed
+	l.age = max(0, l.age+float64(l.running)*elapsed)
 	if running == 0 {
 		l.age = 0
 	} else if elapsed > 0 {
@@ -147,7 +147,7 @@
 
 // Finish records the outcome of a run and how long it took. Update follows it.
 func (l *Learner) Finish(now time.Time, ran time.Duration, o Outcome) {
-	l.age = max(0, l.age-ran.Seconds())
+	l.age -= ran.Seconds()
 	counts := !now.Before(l.window.start) && !now.Before(l.coldUntil)
 	if counts {
 		l.window.ended++
@@ -191,10 +191,12 @@
 // overdue returns the mean age of the runs in flight relative to the usual one if it is conspicuous, and 1 otherwise. It shows
 // that a backend server has become slow before runs end that tell so.
 func (l *Learner) overdue() float64 {
-	if l.usualAge == 0 || l.observed < usualAgeMemory.Seconds()/4 {
+	// Runs of equal length are half as old on average.
+	usual := max(l.usualAge, l.meanRun/2)
+	if usual == 0 || l.observed < usualAgeMemory.Seconds()/4 {
 		return 1
 	}
-	ratio := (l.age/l.usualAge + priorRuns) / float64(l.running+priorRuns)
+	ratio := (l.age/usual + priorRuns) / float64(l.running+priorRuns)
 	if ratio < overdueRatio {
 		return 1
 	}
--- a/capacity/learner_test.go
+++ b/capacity/learner_test.go
@@ -60,8 +60,10 @@
 	l.SetSlots(at(0), 100)
 	l.Update(at(0), 1, 0)
 	now := 100 * time.Millisecond
-	for ; now < 10*time.Second; now += 100 * time.Millisecond {
-		l.Finish(at(now), 100*time.Millisecond, capacity.Completed{Route: "r"})
+	for ; now < 10*time.Second; now += 10 * time.Millisecond {
+		if now%(100*time.Millisecond) == 0 {
+			l.Finish(at(now), 100*time.Millisecond, capacity.Completed{Route: "r"})
+		}
 		l.Update(at(now), 1, 0)
 	}
 	for until := now + 300*time.Millisecond; now < until; now += 10 * time.Millisecond {
--- a/capacity/search.go
+++ b/capacity/search.go
@@ -104,7 +104,8 @@
 	// previous is the limit before the last growth, and step the factor of the next one.
 	previous int
 	step     float64
-	// nextGrowth and nextShrink are the times from which on a higher or, without a suspicion, a lower limit is tried.
+	// nextGrowth and nextShrink are the times from which on a higher or, without a suspicion, a lower limit is tried. The second
+	// one starts anew after a window that wasn't full, so that a surge after a calm doesn't begin with a trial.
 	nextGrowth, nextShrink   time.Time
 	growthPause, shrinkPause time.Duration
 }
@@ -165,11 +166,15 @@
 		return
 	}
 	if !w.isFull() {
-		s.slowFor, s.growFor = 0, 0
+		s.slowFor, s.growFor, s.nextShrink = 0, 0, time.Time{}
 		return
 	}
+	if s.nextShrink.IsZero() {
+		s.shrinkPause = max(minShrinkPause, s.shrinkPause)
+		s.nextShrink = now.Add(s.shrinkPause)
+	}
 	waited := w.waited >= waitingShare*w.seconds
-	slow := waited && l.limit > l.floor() && (known && ratio >= suspectRatio || !s.nextShrink.IsZero() && now.After(s.nextShrink))
+	slow := waited && l.limit > l.floor() && (known && ratio >= suspectRatio || now.After(s.nextShrink))
 	if slow {
 		if s.slowFor += w.seconds; s.slowFor >= suspectTime.Seconds() {
 			s.slowFor, s.growFor = 0, 0
@@ -178,9 +183,6 @@
 		return
 	}
 	s.slowFor = 0
-	if s.nextShrink.IsZero() {
-		l.delayShrink(now)
-	}
 	if waited && l.limit < l.slots {
 		l.grow(now, w, known && ratio <= healthyRatio)
 	}
@@ -256,7 +258,7 @@
 // lower sets a lower limit and avoids the ceiling for a while.
 func (l *Learner) lower(now time.Time, limit, ceiling int) {
 	s := &l.search
-	l.limit = max(l.floor(), min(l.slots, limit))
+	l.limit = max(l.floor(), min(l.limit, limit))
 	s.ceiling, s.ceilingUntil, s.step, s.previous = ceiling, now.Add(ceilingTTL), growthStep, 0
 }
 
