--- a/capacity/learner_test.go
+++ b/capacity/learner_test.go
@@ -52,6 +52,23 @@
 		l.Update(at(t), 50, 0)
 	}
 	require.LessOrEqual(t, l.Limit(), 45)
+	l.SetSlots(at(5*time.Second), 1000)
+	require.Equal(t, 125, l.Limit(), "the floor of the new slots")
+}
+
+// Guards against a surge that begins with a trial of a lower limit, since the time of the next one has passed in a calm.
+func TestSurgeBeginsWithAllSlots(t *testing.T) {
+	var l capacity.Learner
+	l.SetSlots(at(0), 100)
+	for now := time.Duration(0); now < 32*time.Second; now += step {
+		l.Finish(at(now), 100*time.Millisecond, capacity.Completed{Route: "r"})
+		if now < time.Second || now >= 30*time.Second {
+			l.Update(at(now), 100, 50)
+		} else {
+			l.Update(at(now), 10, 0)
+		}
+		require.Equal(t, 100, l.Limit(), now)
+	}
 }
 
 // Guards against a single long run that makes a backend server look slow.
