--- a/capacity/learner_test.go
+++ b/capacity/learner_test.go
@@ -52,10 +52,44 @@
 		l.Update(at(t), 50, 0)
 	}
 	require.LessOrEqual(t, l.Limit(), 45)
+	l.SetSlots(at(5*time.Second), 1000)
+	require.Equal(t, 125, l.Limit(), "the floor of the new slots")
 }
 
-// Guards against a backend server that stops answering and is reported as fast as before until its first late answer, and
-// against one long run among many that makes it look slow.
+// Guards against a surge that begins with a trial of a lower limit, since the time of the next one has passed in a calm.
+func TestSurgeBeginsWithAllSlots(t *testing.T) {
+	var l capacity.Learner
+	l.SetSlots(at(0), 100)
+	for now := time.Duration(0); now < 32*time.Second; now += step {
+		l.Finish(at(now), 100*time.Millisecond, capacity.Completed{Route: "r"})
+		if now < time.Second || now >= 30*time.Second {
+			l.Update(at(now), 100, 50)
+		} else {
+			l.Update(at(now), 10, 0)
+		}
+		require.Equal(t, 100, l.Limit(), now)
+	}
+}
+
+// Guards against a single long run that makes a backend server look slow.
+func TestOneLongRunIsNoSlowServer(t *testing.T) {
+	var l capacity.Learner
+	l.SetSlots(at(0), 100)
+	l.Update(at(0), 1, 0)
+	now := 100 * time.Millisecond
+	for ; now < 10*time.Second; now += 10 * time.Millisecond {
+		if now%(100*time.Millisecond) == 0 {
+			l.Finish(at(now), 100*time.Millisecond, capacity.Completed{Route: "r"})
+		}
+		l.Update(at(now), 1, 0)
+	}
+	for until := now + 300*time.Millisecond; now < until; now += 10 * time.Millisecond {
+		l.Update(at(now), 1, 0)
+	}
+	require.InDelta(t, 0.1, l.ExpectedRunTime("r").Seconds(), 0.02)
+}
+
+// Guards against a backend server that stops answering and is reported as fast as before until its first late answer.
 func TestRunsInFlightShowASlowServer(t *testing.T) {
 	var l capacity.Learner
 	l.SetSlots(at(0), 100)
