Tell failing backend servers apart when most of their region fails

Two standard deviations around the mean of the region hid the difference to the others.

Change: one standard deviation, and without calls a rate approaches that of the region and not 0.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -46,8 +46,6 @@
 	observationHalfLife = 3 * time.Second
 	// failureSmoothing is the weight of one call in the moving average of a backend server's failure rate.
 	failureSmoothing = 0.15
-	// chanceDeviations is the number of standard deviations up to which a difference of failure rates is taken for chance.
-	chanceDeviations = 2
 	// maxRegionCalls is the number of calls that the average failure rate of a region reflects.
 	maxRegionCalls = 50
 	// failurePenalty is the cost of a failure as a multiple of the objective: at best the call is late, at worst the work of
@@ -410,28 +408,39 @@
 }
 
 func (c *Chooser) updateFailureRate(now time.Time, p *peer, failed float64) {
-	rate := p.currentFailureRate(now)
-	p.failureRate, p.failureRateAt = rate+(failed-rate)*failureSmoothing, now
 	if !c.CompareInRegion {
+		rate := p.currentFailureRate(now)
+		p.failureRate, p.failureRateAt = rate+(failed-rate)*failureSmoothing, now
 		return
 	}
+	key := p.candidate.serviceRegion()
+	rate := p.failureRateIn(now, c.regionFailures[key].current(now))
+	p.failureRate, p.failureRateAt = rate+(failed-rate)*failureSmoothing, now
 	if c.regionFailures == nil {
 		c.regionFailures = map[serviceRegion]regionFailures{}
 	}
-	key := p.candidate.serviceRegion()
 	c.regionFailures[key] = c.regionFailures[key].with(now, failed)
 }
 
 // expectedFailureRate returns the failure rate that a call to a backend server is expected to meet. Rates of a few calls differ by
 // chance, and no call should travel for that: the rate is that of the region, and what lies beyond chance is added.
 func (c *Chooser) expectedFailureRate(now time.Time, p *peer) float64 {
-	rate := p.currentFailureRate(now)
 	if !c.CompareInRegion {
-		return rate
+		return p.currentFailureRate(now)
 	}
 	mean := c.regionFailures[p.candidate.serviceRegion()].current(now)
-	chance := chanceDeviations * math.Sqrt(mean*(1-mean)*failureSmoothing/(2-failureSmoothing))
-	return mean + math.Copysign(max(0, math.Abs(rate-mean)-chance), rate-mean)
+	difference := p.failureRateIn(now, mean) - mean
+	chance := math.Sqrt(mean * (1 - mean) * failureSmoothing / (2 - failureSmoothing))
+	return mean + math.Copysign(max(0, math.Abs(difference)-chance), difference)
+}
+
+// failureRateIn returns the failure rate of a backend server in a region with the given average. Without calls it approaches the
+// average, so that the backend server is tried again.
+func (p *peer) failureRateIn(now time.Time, mean float64) float64 {
+	if p.failureRateAt.IsZero() {
+		return mean
+	}
+	return mean + (p.failureRate-mean)*math.Exp2(-now.Sub(p.failureRateAt).Seconds()/observationHalfLife.Seconds())
 }
 
 // regionFailures is the moving average of the failure rate of a service in a region.
--- a/dispatch/chooser_test.go
+++ b/dispatch/chooser_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -364,3 +365,35 @@
 		require.Less(t, one, 300, "a quarter of the calls would be 500")
 	}
 }
+
+// Pattern: six of ten backend servers of a region lose 40% of the answers for 10 s. Guards against a comparison with the region
+// that hides the difference, since most of the region fails.
+//
+// Calls spread evenly would send 60% to them; the other four have room for all.
+func TestFailingMajorityOfARegionIsAvoided(t *testing.T) {
+	for seed := range uint64(10) {
+		c := &dispatch.Chooser{CompareInRegion: true}
+		var candidates []dispatch.Candidate
+		for i := range 10 {
+			candidates = append(candidates, dispatch.Candidate{Address: strconv.Itoa(i), Service: "maps", Place: home, Slots: 10})
+		}
+		c.Update(home, candidates)
+		random := kernel.NewRand(seed)
+		toFailing, calls := 0, 0
+		for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
+			now := start.Add(at)
+			choice := chooseWith(t, c, now, query, random)
+			var o dispatch.Outcome = dispatch.Answered{Route: "read", RunTime: 50 * time.Millisecond, Bytes: 1 << 10}
+			if i, _ := strconv.Atoi(choice.Address); i < 6 {
+				toFailing++
+				if random.Float64() < 0.4 {
+					o = dispatch.Failed{}
+				}
+			}
+			calls++
+			c.RecordLoad(now, choice.Address, slots.Load{Running: 1, Limit: 10})
+			c.RecordOutcome(now, choice.Address, o)
+		}
+		require.Less(t, toFailing, calls/5)
+	}
+}
