Bound what other nodes leave in the memory of a node

Cause: answers were acknowledged every 250 ms, and only up to the oldest call that runs, so that one slow call kept all later answers of its sender; frames up to 64 KB were copied into a growing buffer; the accepted connections had no limit.

Change: a sender acknowledges after 256 KB of answers, and releases the answers to calls behind a pending one; the call stays known, so that it never runs again. An unknown frame is ignored, so that older nodes work as before. Payloads from 16 KB on are queued without a copy. Transport.MaxAccepted limits accepted connections, of which half may be before their hello frame.

--- a/link/conn.go
+++ b/link/conn.go
@@ -17,10 +17,10 @@
 	// readBuffer is the size of a connection's read buffer, in bytes. It is small because a node has many connections.
 	readBuffer = 4 << 10
 	// maxUnwritten bounds the bytes of small frames queued for writing on a connection, which is closed when the receiver reads too
-	// slowly. Large payloads are held by their calls in any case.
+	// slowly. Larger payloads are held by their calls in any case.
 	maxUnwritten = 32 << 20
 	// largePayload is the size above which a payload is queued without a copy. It must not be changed after it was sent.
-	largePayload = 64 << 10
+	largePayload = 16 << 10
 	// maxWrite bounds the bytes of one write.
 	maxWrite = 256 << 10
 	// writeTimeout bounds one write. A receiver that accepts no bytes for this long counts as unreachable.
--- a/link/frame.go
+++ b/link/frame.go
@@ -36,6 +36,9 @@
 	kindOutcomeUnknown
 	// kindWithdraw asks for the call with that number to be answered at once if it has not started.
 	kindWithdraw
+	// kindRelease carries the numbers of calls, of 8 bytes each, whose answers the sender has while an earlier call is pending. The
+	// receiver drops the answers, but not the calls, so that none runs again.
+	kindRelease
 )
 
 const (
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -366,3 +366,19 @@
 		require.Equal(t, 1, receiver.runCount(fmt.Sprint(i, body)))
 	}
 }
+
+// Guards against answers that a node keeps for as long as one earlier call of the same node runs.
+func TestAnswersAreReleasedWhileAnEarlierCallRuns(t *testing.T) {
+	receiver, sender := start(t, 1, "127.0.0.1:0"), start(t, 2, "127.0.0.1:0")
+	slow := sender.transport.Peer(receiver.address).Call([]byte("slow"))
+	padding := strings.Repeat("x", 60_000)
+	for i := range 100 {
+		name := fmt.Sprint(i, padding)
+		p := sender.transport.Peer(receiver.address).Call([]byte(name))
+		receiver.answer(t, name)
+		require.Equal(t, link.Answer{Payload: []byte("answer to " + name)}, <-p.Done)
+	}
+	eventually(t, func() bool { return receiver.transport.StoredBytes() < len(padding) })
+	receiver.answer(t, "slow")
+	require.Equal(t, link.Answer{Payload: []byte("answer to slow")}, <-slow.Done)
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"sync"
 	"time"
@@ -20,6 +21,8 @@
 	statusInterval = time.Second
 	// idleTimeout is how long a connection that is not persistent may be without calls before it is closed.
 	idleTimeout = 30 * time.Second
+	// maxUnacknowledged bounds the bytes of answers that were received and not acknowledged.
+	maxUnacknowledged = 256 << 10
 	// minRedialBackoff and maxRedialBackoff bound the backoff between connection attempts.
 	minRedialBackoff = 100 * time.Millisecond
 	maxRedialBackoff = 2 * time.Second
@@ -82,6 +85,9 @@
 	awaitingPong bool
 	// acked is the number in the last ack that was sent.
 	acked uint64
+	// answered holds the numbers of the calls answered since then, and answeredBytes is the size of their answers.
+	answered      []uint64
+	answeredBytes int
 }
 
 // Call sends a call and returns at once. The result arrives on Done unless the call is cancelled.
@@ -263,7 +269,8 @@
 	})
 }
 
-// sendAckLocked acknowledges all calls below the oldest pending one, so that the receiver can drop their answers.
+// sendAckLocked acknowledges all calls below the oldest pending one, so that the receiver can drop them, and releases the answers to
+// later ones.
 func (p *Peer) sendAckLocked() {
 	lowest := p.lastNumber + 1
 	for number := range p.pending {
@@ -273,6 +280,16 @@
 		p.acked = lowest
 		p.conn.send(frame{kind: kindAck, number: lowest})
 	}
+	var released []byte
+	for _, number := range p.answered {
+		if number >= lowest {
+			released = binary.BigEndian.AppendUint64(released, number)
+		}
+	}
+	p.answered, p.answeredBytes = p.answered[:0], 0
+	if len(released) > 0 {
+		p.conn.send(frame{kind: kindRelease, payload: released})
+	}
 }
 
 func (p *Peer) read(k *conn) {
@@ -294,6 +311,11 @@
 		defer p.mu.Unlock()
 		if f.kind == kindAnswer {
 			p.completeLocked(f.number, Answer{f.payload})
+			p.answered = append(p.answered, f.number)
+			p.answeredBytes += len(f.payload)
+			if p.answeredBytes >= maxUnacknowledged && p.conn != nil {
+				p.sendAckLocked()
+			}
 		} else {
 			p.completeLocked(f.number, Lost{Sent: true})
 		}
--- a/link/session.go
+++ b/link/session.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"encoding/binary"
 	"sync"
 	"time"
 )
@@ -53,22 +53,14 @@
 }
 
 // serve handles one accepted connection until it closes.
-func (t *Transport) serve(c net.Conn) {
-	k := newConn(c)
-	t.mu.Lock()
-	t.accepted[k] = struct{}{}
-	t.mu.Unlock()
+func (t *Transport) serve(k *conn) {
 	defer func() {
 		k.close()
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		delete(t.accepted, k)
 	}()
-	if err := setUserTimeout(c); err != nil {
-		t.Log.Warn("link-option-failed", "error", err)
-		return
-	}
-	incarnation, err := t.handshake(k)
+	incarnation, err := t.greet(k)
 	if err != nil {
 		return
 	}
@@ -91,6 +83,16 @@
 	s.detach(t.uptime())
 }
 
+// greet exchanges hello frames on an accepted connection.
+func (t *Transport) greet(k *conn) (incarnation uint64, err error) {
+	defer t.endGreeting()
+	if err := setUserTimeout(k.c); err != nil {
+		t.Log.Warn("link-option-failed", "error", err)
+		return 0, err
+	}
+	return t.handshake(k)
+}
+
 func (t *Transport) handleFrame(s *session, k *conn, f frame) {
 	switch f.kind {
 	case kindCall:
@@ -103,6 +105,8 @@
 		s.withdraw(f.number)
 	case kindAck:
 		s.acknowledge(f.number)
+	case kindRelease:
+		s.release(f.payload)
 	case kindPing:
 		k.send(frame{kind: kindPong, payload: t.Handler.Status()})
 		t.Handler.HandleStatus(f.payload, k.reply)
@@ -234,6 +238,17 @@
 	}
 }
 
+// release drops the stored answers of the calls with these numbers.
+func (s *session) release(numbers []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for ; len(numbers) >= 8; numbers = numbers[8:] {
+		if c, ok := s.calls[binary.BigEndian.Uint64(numbers)]; ok && c.done {
+			c.answer = nil
+		}
+	}
+}
+
 // Answer sends the answer and stores it until the sender acknowledges it.
 func (c *IncomingCall) Answer(payload []byte) {
 	s := c.session
--- a/link/transport.go
+++ b/link/transport.go
@@ -41,6 +41,9 @@
 	Clock   kernel.Clock
 	Log     *event.Log
 	Handler Handler
+	// MaxAccepted limits the accepted connections, of which half may be before their hello frame; zero means no limit. Further ones
+	// are closed.
+	MaxAccepted int
 	// Incarnation distinguishes this process of the node from earlier ones.
 	Incarnation uint64
 
@@ -51,6 +54,8 @@
 	peers    map[string]*Peer
 	sessions map[uint64]*session
 	accepted map[*conn]struct{}
+	// greeting counts the accepted connections before their hello frame.
+	greeting int
 }
 
 // Start accepts connections from the listener and maintains connections until the group stops.
@@ -83,13 +88,38 @@
 			}
 			continue
 		}
+		k := newConn(c)
+		if !t.admit(k) {
+			t.Log.Warn("link-too-many-connections", "peer", c.RemoteAddr().String(), "limit", t.MaxAccepted)
+			k.close()
+			continue
+		}
 		t.group.Go("link-serve", func(context.Context) error {
-			t.serve(c)
+			t.serve(k)
 			return nil
 		})
 	}
 }
 
+// admit adds a connection to the accepted ones unless there are too many.
+func (t *Transport) admit(k *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.MaxAccepted > 0 && (len(t.accepted) >= t.MaxAccepted || 2*t.greeting >= t.MaxAccepted) {
+		return false
+	}
+	t.accepted[k] = struct{}{}
+	t.greeting++
+	return true
+}
+
+// endGreeting records that a connection has sent its hello frame or failed.
+func (t *Transport) endGreeting() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.greeting--
+}
+
 // uptime returns the time since Start. Times are kept as durations so that they fit into atomic integers.
 func (t *Transport) uptime() time.Duration { return t.Clock.Now().Sub(t.started) }
 
