Hold the small messages of callers in one account

Cause: a connection of a caller might have 16 unanswered requests of up to 64 KB each, with answers of that size, none of which took anything from the budget; a small answer that nobody reads had no timeout; connections were bounded by their number alone, above what the descriptors of a process allow.

Change: memory.Budget counts the small messages of callers, by connection, address and in sum. A connection is read ahead only up to its limit, half of the room for its address and three quarters in all; a request or answer without room waits, behind those that hold less, and is refused as not run. A new connection beyond the limit takes the place of one that is idle or trickles. Descriptors are shared out between callers, other nodes and the rest. A small body in chunks gives its reservation of the largest body back once it is read.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,6 +27,11 @@
 	// lingerTime is how long a connection stays open for reading after its last answer. Closing it while bytes of the caller are
 	// unread would reset it, and the caller could lose the answer.
 	lingerTime = 500 * time.Millisecond
+	// exchangeBytes is what a request and its answer take beside their bytes, and copies how often the bytes of a small request are held.
+	exchangeBytes = 4 << 10
+	copies        = 3
+	// roomTimeout is how long a request waits for room before it is refused.
+	roomTimeout = 3 * time.Second
 	// shutdownPollInterval is the period at which Shutdown checks for connections that became idle.
 	shutdownPollInterval = 10 * time.Millisecond
 )
@@ -34,29 +40,41 @@
 
 // conn is the connection of a caller.
 type conn struct {
-	s    *Server
-	c    net.Conn
-	r    *bufio.Reader
-	gone chan struct{}
-	// goneOnce closes gone.
-	goneOnce sync.Once
+	s *Server
+	c net.Conn
+	r *bufio.Reader
+	// ctx ends when the caller has left.
+	ctx    context.Context
+	cancel context.CancelFunc
 	// slots limits the unanswered requests.
 	slots chan struct{}
+	// held counts the small messages that are held for the connection.
+	held *memory.Holding
+	// reading and writing are since when a request is being received, and at most 64 KB of an answer written, and idle since when
+	// neither a request is received nor one unanswered. They are values of Server.mark, or 0.
+	reading, writing, idle atomic.Int64
+	// served is set once a request was read.
+	served atomic.Bool
+	// readerHeld is what is held for a grown read buffer.
+	readerHeld int64
 
 	mu sync.Mutex
 	// last is the request that was read last.
 	last *Exchange
 	// unanswered counts the requests that were read and not answered.
 	unanswered int
-	// reading is set while a request is being read.
-	reading bool
+	// busy is set while a request is being read.
+	busy bool
 	// closing is set once no further request is read or answered.
 	closing bool
 }
 
 func newConn(s *Server, c net.Conn) *conn {
-	return &conn{s: s, c: c, r: bufio.NewReaderSize(c, min(initialReadBuffer, s.MaxHeaderBytes)), gone: make(chan struct{}),
-		slots: make(chan struct{}, s.MaxPipelined)}
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &conn{s: s, c: c, r: bufio.NewReaderSize(c, min(initialReadBuffer, s.MaxHeaderBytes)), ctx: ctx, cancel: cancel,
+		slots: make(chan struct{}, s.MaxPipelined), held: s.Budget.OpenHolding(host(c.RemoteAddr()), s.MaxConnectionBytes)}
+	k.idle.Store(s.mark())
+	return k
 }
 
 func (k *conn) isClosing() bool {
@@ -68,7 +86,7 @@
 // closeIfIdle closes the connection unless it has unanswered requests, and reports whether it had none.
 func (k *conn) closeIfIdle() bool {
 	k.mu.Lock()
-	idle := k.unanswered == 0 && !k.reading
+	idle := k.unanswered == 0 && !k.busy
 	if idle {
 		k.closing = true
 	}
@@ -91,13 +109,16 @@
 func (k *conn) readRequests() {
 	for {
 		k.slots <- struct{}{}
-		if !k.awaitRequest() {
+		if !k.awaitRequest() || !k.awaitRoom() {
 			return
 		}
-		x := &Exchange{Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse(), Gone: k.gone, conn: k,
+		x := &Exchange{Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse(), Gone: k.ctx.Done(), conn: k,
 			sent: make(chan struct{})}
 		x.Response.Header.SetNoDefaultContentType(true)
 		err := k.read(x)
+		k.reading.Store(0)
+		k.served.Store(true)
+		k.shrinkReader()
 		if err != nil {
 			x.body.Release()
 		}
@@ -119,10 +140,9 @@
 		x.lastOnConnection = last
 		k.s.Group.Go("request", func(context.Context) error {
 			k.s.Handler(x)
-			if x.body != nil {
-				x.Request.ResetBody()
-				x.body.Release()
-			}
+			x.Request.ResetBody()
+			x.body.Release()
+			k.countAnswer(x)
 			k.answer(x)
 			return nil
 		})
@@ -142,6 +162,54 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
+// awaitRoom waits until all earlier requests are answered, unless the connection may be read ahead. It reports false when the
+// connection has ended.
+func (k *conn) awaitRoom() bool {
+	k.mu.Lock()
+	last, ahead := k.last, k.unanswered > 0
+	k.mu.Unlock()
+	if ahead && !k.held.MayReadAhead() {
+		<-last.sent
+	}
+	if k.isClosing() {
+		return false
+	}
+	k.reading.Store(k.s.mark())
+	return true
+}
+
+// take takes room for what is read next, and reports ErrNoMemory if there is none in time.
+func (k *conn) take(size int64) error {
+	reading := k.reading.Swap(0) // The caller is not at fault for this wait.
+	if !k.takeWithin(roomTimeout, size) {
+		return ErrNoMemory
+	}
+	if reading > 0 {
+		k.reading.Store(k.s.mark())
+	}
+	return nil
+}
+
+// takeWithin takes room, and waits for it until the caller leaves. It reports false if there is none in time.
+func (k *conn) takeWithin(wait time.Duration, size int64) bool {
+	if k.held.TryTake(size) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(k.ctx, wait)
+	defer cancel()
+	return k.held.Take(ctx, size)
+}
+
+// countAnswer counts what is held for the answer to a request instead of what was held for the request.
+func (k *conn) countAnswer(x *Exchange) {
+	held := exchangeBytes + headBytes(x)
+	if x.answer == nil {
+		held += int64(len(x.Response.Body()))
+	}
+	k.held.Add(held - x.heldRequest - x.heldAnswer)
+	x.heldRequest, x.heldAnswer = 0, held
+}
+
 // awaitRequest waits for the first byte of a request and reports false when the connection has ended.
 func (k *conn) awaitRequest() bool {
 	for {
@@ -168,8 +236,22 @@
 func (k *conn) beginReading() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.reading = !k.closing
-	return k.reading
+	k.busy = !k.closing
+	k.idle.Store(0)
+	return k.busy
+}
+
+// end closes the connection against the will of the caller, for which held bytes are held.
+func (k *conn) end(reason CloseReason, held int64) {
+	if !k.isClosing() {
+		k.s.reportClosed(k.c.RemoteAddr(), reason, held)
+	}
+	k.leave()
+}
+
+// headBytes returns the size of the head of a request.
+func headBytes(x *Exchange) int64 {
+	return int64(len(x.Request.Header.RequestURI()) + len(x.Request.Header.RawHeaders()))
 }
 
 // leave records that the connection has ended and cancels its unanswered requests.
@@ -177,12 +259,10 @@
 	k.mu.Lock()
 	k.closing = true
 	k.mu.Unlock()
-	k.cancelRequests()
+	k.cancel()
 	_ = k.c.Close()
 }
 
-func (k *conn) cancelRequests() { k.goneOnce.Do(func() { close(k.gone) }) }
-
 // read reads one request.
 func (k *conn) read(x *Exchange) error {
 	if err := k.c.SetReadDeadline(time.Now().Add(k.s.ReadTimeout)); err != nil {
@@ -192,7 +272,9 @@
 		err := x.Request.Header.Read(k.r)
 		var small *fasthttp.ErrSmallBuffer
 		if errors.As(err, &small) && k.r.Size() < k.s.MaxHeaderBytes {
-			k.growReader()
+			if err := k.growReader(); err != nil {
+				return err
+			}
 			err = x.Request.Header.Read(k.r)
 		}
 		if err != nil {
@@ -215,6 +297,10 @@
 			// The body must not go back to the pool of buffers: a call that was given up may still be sending it.
 			x.Request.SetBodyRaw(x.Request.SwapBody(nil))
 			x.body.Shrink(int64(size))
+		} else if x.body != nil {
+			k.held.Add(copies * int64(size)) // It came in chunks and turned out to be small.
+			x.heldRequest += copies * int64(size)
+			x.body.Release()
 		}
 		return nil
 	})
@@ -223,6 +309,14 @@
 // reserveBody reserves memory for the body of a request, and then allows the whole time to read it.
 func (k *conn) reserveBody(x *Exchange) error {
 	size := int64(x.Request.Header.ContentLength())
+	small := exchangeBytes + copies*headBytes(x)
+	if size <= memory.FreeBytes {
+		small += copies * max(size, 0)
+	}
+	if err := k.take(small); err != nil {
+		return err
+	}
+	x.heldRequest = small
 	if size == -1 {
 		size = int64(k.s.MaxBodyBytes)
 	}
@@ -238,9 +332,24 @@
 }
 
 // growReader replaces the read buffer by one of MaxHeaderBytes and keeps the buffered bytes.
-func (k *conn) growReader() {
+func (k *conn) growReader() error {
+	if err := k.take(int64(k.s.MaxHeaderBytes)); err != nil {
+		return err
+	}
+	k.readerHeld = int64(k.s.MaxHeaderBytes)
 	buffered, _ := k.r.Peek(k.r.Buffered()) // Peeking at buffered bytes can't fail.
 	k.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), k.c), k.s.MaxHeaderBytes)
+	return nil
+}
+
+// shrinkReader replaces a grown read buffer by a small one if it is empty and room is short.
+func (k *conn) shrinkReader() {
+	if k.readerHeld == 0 || k.r.Buffered() > 0 || k.held.MayReadAhead() {
+		return
+	}
+	k.r = bufio.NewReaderSize(k.c, initialReadBuffer)
+	k.held.Add(-k.readerHeld)
+	k.readerHeld = 0
 }
 
 // writeContinue asks for the body of a request whose caller waits for that, once all earlier requests are answered.
@@ -251,6 +360,7 @@
 	if last != nil {
 		<-last.sent
 	}
+	k.reading.Store(k.s.mark())
 	_, err := k.c.Write(continueLine)
 	return err
 }
@@ -259,7 +369,7 @@
 func (k *conn) admit(x *Exchange) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.reading = false
+	k.busy = false
 	if k.closing {
 		return false
 	}
@@ -279,22 +389,26 @@
 	}
 	k.mu.Lock()
 	dropped, isLast := k.closing, k.last == x
-	if x.lastOnConnection || x.Response.ConnectionClose() || k.s.draining.Load() && isLast && !k.reading {
+	if x.lastOnConnection || x.Response.ConnectionClose() || k.s.draining.Load() && isLast && !k.busy {
 		x.lastOnConnection = true
 		k.closing = true
 	}
 	k.mu.Unlock()
 	if x.lastOnConnection && !isLast {
-		k.cancelRequests() // The answers to the later ones would come behind the end of the connection.
+		k.cancel() // The answers to the later ones would come behind the end of the connection.
 	}
 	if !dropped {
 		k.write(x)
 	}
 	x.answer.Release()
+	k.held.Add(-x.heldAnswer)
 	fasthttp.ReleaseRequest(x.Request)
 	fasthttp.ReleaseResponse(x.Response)
 	k.mu.Lock()
 	k.unanswered--
+	if k.unanswered == 0 && !k.busy {
+		k.idle.Store(k.s.mark())
+	}
 	k.s.unanswered.Add(-1)
 	k.mu.Unlock()
 	close(x.sent)
@@ -319,11 +433,13 @@
 		body = nil
 	}
 	var err error
+	k.writing.Store(k.s.mark())
 	if len(body) <= maxJoinedBody {
 		_, err = k.c.Write(append(head, body...))
 	} else {
 		err = k.writeLarge(head, body)
 	}
+	k.writing.Store(0)
 	switch {
 	case err != nil:
 		k.leave()
@@ -342,12 +458,13 @@
 				return err
 			}
 		}
+		k.writing.Store(k.s.mark())
 		part := body[written:min(written+maxWrite, len(body))]
 		buffers := net.Buffers{head, part}
 		if _, err := buffers.WriteTo(k.c); err != nil {
 			var timeout net.Error
-			if errors.As(err, &timeout) && timeout.Timeout() && k.s.Slow != nil {
-				k.s.Slow(len(body) - written)
+			if errors.As(err, &timeout) && timeout.Timeout() {
+				k.end(SlowReader, int64(len(body)-written))
 			}
 			return err
 		}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -46,7 +46,7 @@
 	Helper()
 }
 
-func start(t fataler, maxPipelined int) (*fixture, func()) {
+func start(t fataler, maxPipelined int, configure ...func(f *fixture)) (*fixture, func()) {
 	t.Helper()
 	f := &fixture{}
 	g := kernel.NewGroup(context.Background())
@@ -56,6 +56,9 @@
 			resp.SetStatusCode(fasthttp.StatusBadRequest)
 			resp.SetBodyString(err.Error())
 		}}
+	for _, set := range configure {
+		set(f)
+	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	f.address = ln.Addr().String()
@@ -411,17 +414,26 @@
 	f, stop := start(t, 4)
 	defer stop()
 	const size = 16 << 20
-	slow := make(chan int, 1)
-	f.WriteTimeout, f.Slow = 200*time.Millisecond, func(unwritten int) { slow <- unwritten }
 	f.Handler = func(x *intake.Exchange) { x.Response.SetBodyRaw(make([]byte, size)) }
 	c, err := net.Dial("tcp", f.address)
 	require.NoError(t, err)
 	defer func() { require.NoError(t, c.Close()) }()
+	type closed struct {
+		peer      string
+		reason    intake.CloseReason
+		unwritten int64
+	}
+	slow := make(chan closed, 1)
+	f.WriteTimeout, f.Closed = 200*time.Millisecond, func(peer string, reason intake.CloseReason, unwritten int64) {
+		slow <- closed{peer, reason, unwritten}
+	}
 	_, err = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return f.Unanswered() == 1 }, waitTimeout, time.Millisecond)
-	unwritten := <-slow
-	require.Positive(t, unwritten)
-	require.Less(t, unwritten, size)
+	got := <-slow
+	require.Equal(t, c.LocalAddr().String(), got.peer)
+	require.Equal(t, intake.SlowReader, got.reason)
+	require.Positive(t, got.unwritten)
+	require.Less(t, got.unwritten, int64(size))
 	require.Eventually(t, func() bool { return f.Unanswered() == 0 }, waitTimeout, time.Millisecond)
 }
--- a/intake/server.go
+++ b/intake/server.go
@@ -26,8 +26,13 @@
 	ReserveBody func(h *fasthttp.RequestHeader, size int64) (*memory.Reservation, bool)
 	// Group runs the goroutines of connections and requests.
 	Group *kernel.Group
-	// MaxConnections limits the open connections. A connection beyond it is answered with status 503 and closed.
+	// Budget, if set, counts the small messages that are held for connections.
+	Budget *memory.Budget
+	// MaxConnections limits the open connections. A connection beyond it takes the place of one that is idle, or sends its request, for
+	// more than a second. If there is none, it is answered with status 503 and closed.
 	MaxConnections int
+	// MaxConnectionBytes is what may be held for a connection before its next request is read only once the earlier ones are answered.
+	MaxConnectionBytes int64
 	// MaxPipelined limits the unanswered requests of a connection. Further ones are not read until an answer is sent.
 	MaxPipelined int
 	// MaxHeaderBytes and MaxBodyBytes limit the headers and the body of a request.
@@ -35,11 +40,16 @@
 	// ReadTimeout limits the time from the first byte of a request to its last one, and IdleTimeout the time without any byte
 	// while no request is unanswered.
 	ReadTimeout, IdleTimeout time.Duration
-	// WriteTimeout limits the time in which a caller takes 64 KB of an answer; zero means no limit. Slow, if set, is called with the
-	// number of unwritten bytes before the connection is closed for it.
+	// WriteTimeout limits the time in which a caller takes 64 KB of an answer; zero means no limit. For smaller answers, Sweep
+	// keeps it.
 	WriteTimeout time.Duration
-	Slow         func(unwritten int)
+	// Closed, if set, is called with the address of a caller whose connection is closed against its will, and with the bytes held for
+	// the connection.
+	Closed func(peer string, reason CloseReason, held int64)
 
+	// sweeps counts the calls of Sweep. It is the clock of connections: it costs little, and it stands still while the process does,
+	// so that no caller is at fault for that time.
+	sweeps     atomic.Int64
 	draining   atomic.Bool
 	unanswered atomic.Int64
 	mu         sync.Mutex
@@ -48,6 +58,19 @@
 	conns      map[*conn]struct{}
 }
 
+// CloseReason is why the connection of a caller was closed or refused.
+type CloseReason string
+
+const (
+	// SlowReader is the reason for a caller that takes 64 KB of an answer not within WriteTimeout.
+	SlowReader CloseReason = "slow-reader"
+	// NoProgress is the reason for a caller without progress while room for messages is short.
+	NoProgress CloseReason = "no-progress"
+	// Displaced is the reason for a connection whose place a new one takes, and TooMany that for a new one without a place.
+	Displaced CloseReason = "displaced"
+	TooMany   CloseReason = "too-many"
+)
+
 // Exchange is one request and its answer.
 type Exchange struct {
 	Request  *fasthttp.Request
@@ -66,6 +89,8 @@
 	lastOnConnection bool
 	// body is the memory reserved for the body, and answer that for the answer.
 	body, answer *memory.Reservation
+	// heldRequest and heldAnswer are the bytes of the Holding of the connection that are for the request and for the answer.
+	heldRequest, heldAnswer int64
 }
 
 // ErrNoMemory reports that a request was not read because there is no memory for its body.
@@ -74,6 +99,16 @@
 // HoldAnswer passes the memory reserved for the answer to the Exchange, which releases it when the answer was written or dropped.
 func (x *Exchange) HoldAnswer(r *memory.Reservation) { x.answer = r }
 
+// TakeAnswer takes room for a small answer of about size bytes, and waits for it until the caller leaves. It reports false if there
+// is none. A handler calls it before it runs a request.
+func (x *Exchange) TakeAnswer(wait time.Duration, size int64) bool {
+	if !x.conn.takeWithin(wait, size) {
+		return false
+	}
+	x.heldAnswer += size
+	return true
+}
+
 // AwaitTurn waits until all earlier requests of the connection are answered. It reports false if the connection was closed
 // before, by the caller or by the answer to an earlier request; the caller then takes this request as not read, so that it
 // must not run. A handler calls it before it runs a request that must run at most once.
@@ -110,30 +145,48 @@
 }
 
 func (s *Server) accept(c net.Conn) {
-	k := newConn(s, c)
 	s.mu.Lock()
 	full := len(s.conns) >= s.MaxConnections
-	refused := s.closed || full
-	if !refused {
+	s.mu.Unlock()
+	if full && !s.displace() {
+		s.reportClosed(c.RemoteAddr(), TooMany, 0)
+		refuseConnection(c)
+		_ = c.Close()
+		return
+	}
+	k := newConn(s, c)
+	s.mu.Lock()
+	closed := s.closed
+	if !closed {
 		s.conns[k] = struct{}{}
 	}
 	s.mu.Unlock()
-	if refused {
-		if full {
-			refuseConnection(c)
-		}
+	if closed {
+		k.held.Close()
 		_ = c.Close()
 		return
 	}
 	s.Group.Go("caller", func(context.Context) error {
 		k.serve()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.conns, k)
+		s.remove(k)
 		return nil
 	})
 }
 
+// remove removes a connection from the open ones, and what is held for it from the account.
+func (s *Server) remove(k *conn) {
+	k.held.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, k)
+}
+
+func (s *Server) reportClosed(peer net.Addr, reason CloseReason, held int64) {
+	if s.Closed != nil {
+		s.Closed(peer.String(), reason, held)
+	}
+}
+
 // tooManyConnections is the answer on a connection beyond MaxConnections.
 const tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
@@ -143,6 +196,13 @@
 	}
 }
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Unanswered returns the number of requests that were read and whose answer was neither written nor dropped.
 func (s *Server) Unanswered() int { return int(s.unanswered.Load()) }
 
@@ -185,7 +245,7 @@
 
 func (s *Server) closeAll() {
 	for _, k := range s.open() {
-		_ = k.c.Close()
+		k.leave()
 	}
 }
 
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -21,26 +21,34 @@
 	Deliveries
 	// Answers are answers of the own backend server until they are passed on.
 	Answers
+	// Connections are the small messages that are held for connections of callers.
+	Connections
 
 	kindCount
 )
 
 // String returns the name of the kind in metrics.
-func (k Kind) String() string { return [...]string{"requests", "deliveries", "answers"}[k] }
+func (k Kind) String() string {
+	return [...]string{"requests", "deliveries", "answers", "connections"}[k]
+}
 
 const (
 	// kindShare is the share of the limit that one kind other than Answers may take, and jointShare that all of these may take
 	// together. The rest is left for Answers, which wait for no other kind, so that kinds never wait for each other in a circle.
 	kindShare  = 0.625
 	jointShare = 0.75
+	// connectionShare is the share of Connections. They take room from Requests and Deliveries, but not from Answers.
+	connectionShare = 0.3
 )
 
 // Budget is a limit on the bytes that are held at the same time. Use New; a nil Budget has no limit.
 type Budget struct {
 	limit int64
 
-	mu      sync.Mutex
-	used    [kindCount]int64
+	mu   sync.Mutex
+	used [kindCount]int64
+	// peers holds what is held for the connections of each address.
+	peers   map[string]*peer
 	waiting []*waiter
 	lastSeq uint64
 }
@@ -114,25 +122,28 @@
 
 // ceiling returns the most bytes that a kind may take.
 func (b *Budget) ceiling(kind Kind) int64 {
-	if kind == Answers {
+	switch kind {
+	case Answers:
 		return b.limit
+	case Connections:
+		return int64(connectionShare * float64(b.limit))
 	}
 	return int64(kindShare * float64(b.limit))
 }
 
 // fitsLocked reports whether bytes of a kind are free.
 func (b *Budget) fitsLocked(kind Kind, size int64) bool {
-	total, joint := int64(0), int64(0)
-	for k, used := range b.used {
-		total += used
-		if Kind(k) != Answers {
-			joint += used
-		}
-	}
-	if total+size > b.limit || b.used[kind]+size > b.ceiling(kind) {
+	if b.used[kind]+size > b.ceiling(kind) {
 		return false
 	}
-	return kind == Answers || joint+size <= int64(jointShare*float64(b.limit))
+	large := b.used[Requests] + b.used[Deliveries]
+	switch kind {
+	case Connections:
+		return true
+	case Answers:
+		return large+b.used[Answers]+size <= b.limit
+	}
+	return large+b.used[Answers]+size <= b.limit && large+b.used[Connections]+size <= int64(jointShare*float64(b.limit))
 }
 
 // grantLocked grants the waiting reservations that fit. None overtakes one of its kind. None overtakes one of a later kind either,
@@ -148,7 +159,9 @@
 			continue
 		}
 		blocked[w.kind] = true
-		allBlocked = allBlocked || w.kind == Answers || b.used[w.kind]+w.size <= b.ceiling(w.kind)
+		if w.kind != Connections { // They have a share of their own.
+			allBlocked = allBlocked || w.kind == Answers || b.used[w.kind]+w.size <= b.ceiling(w.kind)
+		}
 		kept = append(kept, w)
 	}
 	clear(b.waiting[len(kept):])
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -57,6 +57,8 @@
 	// queued.
 	excluded    kernel.Set[string]
 	offeredWait map[string]time.Duration
+	// takeAnswer takes room for a small answer, as intake.Exchange.TakeAnswer does.
+	takeAnswer func(wait time.Duration, size int64) bool
 	// delivery is the memory reserved for the answer.
 	delivery *memory.Reservation
 	// mayHaveRun is set once a backend server's answer was lost.
@@ -105,7 +107,7 @@
 		x.Request.ResetBody() // The request holds the body, and may replace it.
 	}
 	if res == nil {
-		r.callerGone = x.Gone
+		r.callerGone, r.takeAnswer = x.Gone, x.TakeAnswer
 		res = n.forward(r)
 		n.holdDelivery(x, r, res)
 	}
--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -22,6 +22,8 @@
 	callerWriteTimeout = 10 * time.Second
 	// maxAnswerSizes bounds the routes whose answer size is stored.
 	maxAnswerSizes = 4096
+	// smallAnswer is the size of an answer up to which a request runs without room for its answer.
+	smallAnswer = 8 << 10
 	// answerSizeDecay is the divisor of the stored size that gives its decrease with each smaller answer.
 	answerSizeDecay = 16
 )
@@ -67,21 +69,22 @@
 		size = *stored
 	}
 	n.mu.Unlock()
-	if size <= memory.FreeBytes {
-		return true
-	}
 	now := n.clock.Now()
 	wait := r.maxWait
 	if latest, stopping := n.latestStart(r); stopping {
 		wait = min(wait, latest.Sub(now))
 	}
-	ctx, cancel := context.WithTimeout(n.group.Context(), wait)
-	defer cancel()
-	delivery, ok := n.memory.Reserve(ctx, memory.Deliveries, r.rank, size)
-	r.delivery = delivery
+	var ok bool
+	if size <= memory.FreeBytes {
+		ok = r.takeAnswer(wait, size)
+	} else {
+		ctx, cancel := context.WithTimeout(n.group.Context(), wait)
+		defer cancel()
+		r.delivery, ok = n.memory.Reserve(ctx, memory.Deliveries, r.rank, size)
+	}
 	r.waited += n.clock.Now().Sub(now)
 	if !ok {
-		n.metrics.Add("memory-refusals", 1, memory.Deliveries.String())
+		n.metrics.Add("memory-refusals", 1, kindOf(size).String())
 		return false
 	}
 	select {
@@ -92,6 +95,14 @@
 	}
 }
 
+// kindOf returns the kind under which the answer of a size is held for its caller.
+func kindOf(size int64) memory.Kind {
+	if size <= memory.FreeBytes {
+		return memory.Connections
+	}
+	return memory.Deliveries
+}
+
 // holdDelivery passes the memory reserved for an answer on to the connection of the caller, until the answer has been read.
 func (n *Node) holdDelivery(x *intake.Exchange, r *request, res result) {
 	served, ok := res.(servedResult)
@@ -120,21 +131,30 @@
 	switch {
 	case stored != nil:
 		*stored = max(size, *stored-*stored/answerSizeDecay)
-	case size > memory.FreeBytes:
+	case size > smallAnswer:
 		*n.answerSizes.GetOrAdd(route) = size
 	}
 }
 
-// handleSlowCaller logs a caller that was disconnected because it did not read its answer.
-func (n *Node) handleSlowCaller(unwritten int) {
-	n.metrics.Add("slow-callers", 1)
-	n.log.Warn("caller-too-slow", "unwritten", unwritten, "limit", callerWriteTimeout)
+// handleClosedCaller logs a caller whose connection was closed against its will.
+func (n *Node) handleClosedCaller(peer string, reason intake.CloseReason, held int64) {
+	n.metrics.Add("callers-closed", 1, string(reason))
+	if reason == intake.SlowReader {
+		n.metrics.Add("slow-callers", 1)
+		n.log.Warn("caller-too-slow", "peer", peer, "unwritten", held, "limit", callerWriteTimeout)
+		return
+	}
+	n.log.Warn("caller-closed", "peer", peer, "why", string(reason), "held", held, "connections", n.callers.Connections())
 }
 
 // reportMemory updates the gauges of the memory that is held for peers.
 func (n *Node) reportMemory() {
-	for _, kind := range []memory.Kind{memory.Requests, memory.Deliveries, memory.Answers} {
+	for _, kind := range []memory.Kind{memory.Requests, memory.Deliveries, memory.Answers, memory.Connections} {
 		n.metrics.Set("held-bytes", n.memory.Used(kind), kind.String())
 	}
 	n.metrics.Set("memory-waits", int64(n.memory.Waiting()))
+	peers, largest := n.memory.Peers()
+	n.metrics.Set("caller-connections", int64(n.callers.Connections()))
+	n.metrics.Set("caller-peers", int64(peers))
+	n.metrics.Set("largest-peer-bytes", largest)
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -35,13 +35,13 @@
 	tickInterval = 50 * time.Millisecond
 	// idleTrimTicks is the number of ticks between two passes that close expired connections to the own backend server.
 	idleTrimTicks = 20
+	// sweepTicks is the number of ticks between two passes that close connections of callers without progress.
+	sweepTicks = int(intake.SweepInterval / tickInterval)
 	// maxBodyBytes limits the body of a request or an answer. Bodies are buffered in memory so that a call can be sent to
 	// another node.
 	maxBodyBytes = 8 << 20
 	// maxHeaderBytes limits the request line and headers of a request, and the headers of an answer.
 	maxHeaderBytes = 20 << 10
-	// maxCallerConnections limits the connections of callers.
-	maxCallerConnections = 2048
 	// maxLocalBodyBytes limits the body of an announcement.
 	maxLocalBodyBytes = 64 << 10
 	// maxLocalConnections limits the connections of each of the announcement, readiness and admin listeners.
@@ -153,7 +153,7 @@
 		return nil, Err.Wrap(err)
 	}
 	n.log.SetRate(maxRequestLinesPerSecond, "request-refused", "request-failed", "request-failed-at-backend-server",
-		"request-not-routed", "call-not-answered")
+		"request-not-routed", "call-not-answered", "caller-too-slow", "caller-closed")
 	n.group.Go("ticks", n.runTicks)
 	n.group.Go("sync-config", n.syncConfig)
 	n.group.Go("sync-directory", n.syncDirectory)
@@ -194,14 +194,15 @@
 		Length: o.Settings.RepeatWindow}
 	n.memory = memory.New(memoryLimit(o.Settings.MemoryMB))
 	n.answerSizes = kernel.NewLRU[string, int64](maxAnswerSizes)
+	limits := limitsOf(o.Settings, kernelDescriptors())
 	n.backend = newBackend(n, o.Settings.BackendServer)
 	n.group = kernel.NewGroup(ctx)
 	n.pool = kernel.NewPool(maxWorkers, maxQueuedRuns)
 	n.callers = &intake.Server{Handler: n.handleCaller, Unreadable: n.handleUnreadable, ReserveBody: n.reserveBody, Group: n.group,
-		MaxConnections: maxCallerConnections, MaxPipelined: cmp.Or(o.Settings.PipelinedRequests, defaultPipelined),
+		Budget: n.memory, MaxConnections: limits.callers, MaxConnectionBytes: limits.connectionBytes, MaxPipelined: cmp.Or(o.Settings.PipelinedRequests, defaultPipelined),
 		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout,
-		WriteTimeout: callerWriteTimeout, Slow: n.handleSlowCaller}
-	n.transport = &link.Transport{Clock: n.clock, Log: n.log, Handler: n, Incarnation: random}
+		WriteTimeout: callerWriteTimeout, Closed: n.handleClosedCaller}
+	n.transport = &link.Transport{Clock: n.clock, Log: n.log, Handler: n, Incarnation: random, MaxAccepted: limits.nodes}
 	n.recovery.started = n.clock.Now()
 	return n, nil
 }
@@ -315,6 +316,9 @@
 		}
 		n.expireQueued()
 		n.withdrawUnfinishable()
+		if count%sweepTicks == 0 {
+			n.callers.Sweep()
+		}
 		if count%idleTrimTicks == 0 {
 			n.backend.closeExpired(n.clock.Now())
 			n.reportMemory()
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -17,6 +17,11 @@
 	maxGrace          = 10 * time.Minute
 	maxRepeatWindow   = 10 * time.Minute
 	maxPipelined      = 1 << 10
+	minDescriptors    = 512
+	maxDescriptors    = 1 << 20
+	maxConnections    = 1 << 16
+	minConnectionKB   = 64
+	maxConnectionKB   = 1 << 20
 )
 
 var meshKinds = []inifile.Kind{
@@ -25,7 +30,7 @@
 		Required: []string{"deployment", "service", "availability-zone", "region", "backend-server", "callers-listen", "ready-listen",
 			"announce-listen", "calls-listen", "store"},
 		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window",
-			"pipelined-requests"},
+			"pipelined-requests", "max-descriptors", "caller-connections", "connection-kb"},
 	},
 }
 
@@ -64,6 +69,13 @@
 	RepeatWindow   time.Duration
 	// PipelinedRequests is the maximum number of unanswered requests of one connection of a caller; 0 means that it is not set.
 	PipelinedRequests int
+	// MaxDescriptors is the limit of open descriptors of the process; 0 means that it is not set.
+	MaxDescriptors int
+	// CallerConnections is the maximum number of open connections of callers; 0 means that it is not set.
+	CallerConnections int
+	// ConnectionKB is the size of the small messages, in KB, beyond which a connection of a caller is not read ahead; 0 means that it
+	// is not set.
+	ConnectionKB int
 }
 
 // String returns all settings on one line, with field names.
@@ -122,6 +134,9 @@
 		RepeatWindow:     r.Duration(s, "repeat-window", maxRepeatWindow),
 
 		PipelinedRequests: r.Int(s, "pipelined-requests", 1, maxPipelined),
+		MaxDescriptors:    r.Int(s, "max-descriptors", minDescriptors, maxDescriptors),
+		CallerConnections: r.Int(s, "caller-connections", 1, maxConnections),
+		ConnectionKB:      r.Int(s, "connection-kb", minConnectionKB, maxConnectionKB),
 	}
 	if m.CallsAddress == "" {
 		m.CallsAddress = m.CallsListen
--- a/settings/mesh_test.go
+++ b/settings/mesh_test.go
@@ -26,6 +26,9 @@
 repeat-ratio = 0.2
 repeats-allowed = 50
 repeat-window = 10s
+max-descriptors = 4100
+caller-connections = 900
+connection-kb = 512
 `
 
 // Guards against a field of Mesh that is not set, or is set from the wrong key or in the wrong unit.
@@ -35,7 +38,8 @@
 	require.Equal(t, settings.Mesh{Deployment: "operators-platform", Service: "huvo11a", AvailabilityZone: "rn-natal", Region: "rn",
 		BackendServer: "10.1.0.8:8301", CallersListen: "10.1.0.8:8304", ReadyListen: "10.1.0.8:8302", AnnounceListen: "10.1.0.8:8306",
 		CallsListen: "10.1.0.8:8300", CallsAddress: "10.1.0.8:8300", Store: "10.200.1.7:8309", MemoryMB: 284, Grace: 6 * time.Second,
-		RepeatRatio: 0.2, RepeatsAllowed: 50, RepeatWindow: 10 * time.Second}, m)
+		RepeatRatio: 0.2, RepeatsAllowed: 50, RepeatWindow: 10 * time.Second, MaxDescriptors: 4100,
+		CallerConnections: 900, ConnectionKB: 512}, m)
 }
 
 // Guards against invalid settings that are accepted, or that are reported without the line or the remedy.
@@ -51,6 +55,8 @@
 		"ratio above 1":     {"repeat-ratio = 0.2", "repeat-ratio = 2", "write a number from 0 to 1"},
 		"ratio in words":    {"repeat-ratio = 0.2", "repeat-ratio = some", "write a number from 0 to 1"},
 		"negative repeats":  {"repeats-allowed = 50", "repeats-allowed = -1", "repeats-allowed = -1 is out of range"},
+		"few descriptors":   {"max-descriptors = 4100", "max-descriptors = 100", "max-descriptors = 100 is out of range"},
+		"no connections":    {"caller-connections = 900", "caller-connections = 0", "caller-connections = 0 is out of range"},
 		"memory in letters": {"memory-mb = 284", "memory-mb = much", "memory-mb = much is out of range"},
 	} {
 		_, err := settings.ParseMesh("mesh.ini", strings.Replace(validMesh, tc.old, tc.new, 1))
