Keep the memory of an answer reserved until its caller has read it

Cause: an answer of the own backend server gave its reservation back when it was passed on; without room among the deliveries it was then held unreserved. A body in chunks holds room for the largest body while it is read, so that callers who stop halfway keep others from sending one for the whole read timeout of 30 s.

Change: such an answer takes its reservation along (Reservation.Move, or as it is if there is no room), and the reservation ends after the answer is free.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -53,6 +53,8 @@
 	// reading and writing are since when a request is being received, and at most 64 KB of an answer written, and idle since when
 	// neither a request is received nor one unanswered. They are values of Server.mark, or 0.
 	reading, writing, idle atomic.Int64
+	// receiving is the memory reserved for the body that is being read.
+	receiving atomic.Int64
 	// served is set once a request was read.
 	served atomic.Bool
 	// readerHeld is what is held for a grown read buffer.
@@ -117,6 +119,7 @@
 		x.Response.Header.SetNoDefaultContentType(true)
 		err := k.read(x)
 		k.reading.Store(0)
+		k.receiving.Store(0)
 		k.served.Store(true)
 		k.shrinkReader()
 		if err != nil {
@@ -328,6 +331,8 @@
 		return ErrNoMemory
 	}
 	x.body = r
+	k.receiving.Store(size)
+	k.reading.Store(k.s.mark())
 	return k.c.SetReadDeadline(time.Now().Add(k.s.ReadTimeout))
 }
 
@@ -400,10 +405,10 @@
 	if !dropped {
 		k.write(x)
 	}
-	x.answer.Release()
-	k.held.Add(-x.heldAnswer)
 	fasthttp.ReleaseRequest(x.Request)
 	fasthttp.ReleaseResponse(x.Response)
+	x.answer.Release() // Not before the answer itself is free, for which another one may be read at once.
+	k.held.Add(-x.heldAnswer)
 	k.mu.Lock()
 	k.unanswered--
 	if k.unanswered == 0 && !k.busy {
--- a/intake/sweep.go
+++ b/intake/sweep.go
@@ -5,6 +5,8 @@
 	"net"
 	"slices"
 	"time"
+
+	"lovagelane/memory"
 )
 
 const (
@@ -13,6 +15,8 @@
 	// stallTimeout is how long a caller may take for a request, or for 64 KB of an answer, while room for messages or connections
 	// is short.
 	stallTimeout = time.Second
+	// minBodyRate is the rate, in bytes a second, below which a caller sends a large body too slowly while another one waits for room.
+	minBodyRate = 2 << 20
 	// quietSweeps is the number of calls of Sweep of which one looks for slow readers while room is not short.
 	quietSweeps = 10
 )
@@ -43,6 +47,8 @@
 	peerConnections int
 	// idle is how long the connection is idle, and stalled how long its caller takes for what it sends or reads.
 	idle, stalled time.Duration
+	// slowBody is how long the caller takes for a large body beyond the time that minBodyRate allows.
+	slowBody time.Duration
 }
 
 // progressOf returns the state of the open connections.
@@ -51,6 +57,9 @@
 	list := make([]progress, 0, len(conns))
 	for _, k := range conns {
 		p := progress{k: k, idle: s.since(k.idle.Load()), stalled: max(s.since(k.reading.Load()), s.since(k.writing.Load()))}
+		if size := k.receiving.Load(); size > 0 {
+			p.slowBody = s.since(k.reading.Load()) - stallTimeout - time.Duration(size)*time.Second/minBodyRate
+		}
 		p.held = k.held.Size()
 		p.peerHeld, p.peerConnections = k.held.PeerSize()
 		list = append(list, p)
@@ -59,21 +68,28 @@
 }
 
 // Sweep closes the connections of callers that read too slowly and, while room for messages is short, those without progress: first
-// those of the peer for which most is held, and of each peer those that hold most. It is called each SweepInterval.
+// those of the peer for which most is held, and of each peer those that hold most. While large bodies wait for
+// room, it closes the connection with the slowest one. It is called each SweepInterval.
 func (s *Server) Sweep() {
-	excess := s.Budget.Excess()
-	if s.sweeps.Add(1)%quietSweeps != 0 && excess == 0 {
+	excess, bodiesWait := s.Budget.Excess(), s.Budget.IsShort(memory.Requests)
+	if s.sweeps.Add(1)%quietSweeps != 0 && excess == 0 && !bodiesWait {
 		return
 	}
 	var stalled []progress
+	var slowest progress
 	for _, p := range s.progressOf() {
 		switch {
 		case s.WriteTimeout > 0 && s.since(p.k.writing.Load()) > s.WriteTimeout:
 			p.k.end(SlowReader, p.held)
 		case excess > 0 && p.held > 0 && p.stalled >= stallTimeout:
 			stalled = append(stalled, p)
+		case p.slowBody > slowest.slowBody:
+			slowest = p
 		}
 	}
+	if bodiesWait && slowest.slowBody > 0 {
+		slowest.k.end(NoProgress, slowest.k.receiving.Load())
+	}
 	slices.SortFunc(stalled, func(a, b progress) int {
 		return cmp.Or(cmp.Compare(b.peerHeld, a.peerHeld), cmp.Compare(b.held, a.held))
 	})
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -64,10 +64,10 @@
 
 // Reservation is a number of bytes that are held. Its methods accept nil, which holds none.
 type Reservation struct {
-	b    *Budget
-	kind Kind
+	b *Budget
 
-	// size is guarded by b.mu.
+	// kind and size are guarded by b.mu.
+	kind Kind
 	size int64
 }
 
@@ -196,6 +196,16 @@
 	return len(b.waiting)
 }
 
+// IsShort reports whether a reservation of a kind waits.
+func (b *Budget) IsShort(kind Kind) bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.waiting, func(w *waiter) bool { return w.kind == kind })
+}
+
 // Size returns the reserved bytes.
 func (r *Reservation) Size() int64 {
 	if r == nil {
@@ -230,8 +240,26 @@
 	r.b.mu.Lock()
 	excess := max(r.size-size, 0)
 	r.size -= excess
+	kind := r.kind
 	r.b.mu.Unlock()
-	r.b.release(r.kind, excess)
+	r.b.release(kind, excess)
+}
+
+// Move changes the kind of what is held. It reports false, and leaves the kind as it is, if the bytes don't fit under the other one now.
+func (r *Reservation) Move(kind Kind) bool {
+	if r == nil {
+		return true
+	}
+	r.b.mu.Lock()
+	defer r.b.mu.Unlock()
+	r.b.used[r.kind] -= r.size
+	ok := r.b.fitsLocked(kind, r.size)
+	if ok {
+		r.kind = kind
+	}
+	r.b.used[r.kind] += r.size
+	r.b.grantLocked()
+	return ok
 }
 
 // Release returns all bytes. Further calls have no effect.
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -95,7 +95,7 @@
 				at = rapid.IntRange(0, len(held)-1).Draw(t, "at")
 			}
 			size := rapid.Int64Range(1, 12*mb).Draw(t, "size")
-			switch step := rapid.IntRange(0, 3).Draw(t, "step"); {
+			switch step := rapid.IntRange(0, 4).Draw(t, "step"); {
 			case step == 0 || len(held) == 0:
 				if r, ok := b.Reserve(ended(), rapid.SampledFrom(kinds).Draw(t, "kind"), rapid.IntRange(0, 2).Draw(t, "rank"), size); ok && r != nil {
 					held = append(held, r)
@@ -104,6 +104,8 @@
 				held[at].Grow(ended(), size)
 			case step == 2:
 				held[at].Shrink(size)
+			case step == 3:
+				held[at].Move(rapid.SampledFrom(kinds).Draw(t, "kind"))
 			default:
 				held[at].Release()
 				held = append(held[:at], held[at+1:]...)
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -267,10 +267,10 @@
 	case a := <-done:
 		return a, nil
 	case <-callerGone:
-		j.cancel()
+		j.abandon()
 		return answerMessage{}, failedResult{reason: "caller-left"}
 	case <-timeout:
-		j.cancel()
+		j.abandon()
 		return answerMessage{}, failedResult{reason: "timeout", timeout: true}
 	}
 }
--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -103,23 +103,37 @@
 	return memory.Deliveries
 }
 
-// holdDelivery passes the memory reserved for an answer on to the connection of the caller, until the answer has been read.
+// holdDelivery passes the memory reserved for an answer on to the connection of the caller, until the answer has been read. Without
+// room among the deliveries, the answer of the own backend server keeps the memory that it was read into. That of another node is in
+// memory already and is held unreserved.
 func (n *Node) holdDelivery(x *intake.Exchange, r *request, res result) {
 	served, ok := res.(servedResult)
 	if !ok {
 		r.delivery.Release()
 		return
 	}
-	size := int64(len(served.answer.Body))
-	ctx, cancel := context.WithCancel(n.group.Context())
-	cancel() // The answer is in memory already. Without room it is held unreserved.
+	size, reserved := int64(len(served.answer.Body)), served.answer.reserved
+	reserved.Shrink(size)
 	switch {
-	case r.delivery == nil:
-		r.delivery, _ = n.memory.Reserve(ctx, memory.Deliveries, r.rank, size)
-	case r.delivery.Size() < size:
-		r.delivery.Grow(ctx, size)
-	default:
+	case size <= memory.FreeBytes:
+		r.delivery.Release()
+		reserved.Release()
+		r.delivery = nil
+	case r.delivery.Size() >= size:
 		r.delivery.Shrink(size)
+		reserved.Release()
+	case reserved != nil:
+		r.delivery.Release()
+		reserved.Move(memory.Deliveries)
+		r.delivery = reserved
+	default:
+		ctx, cancel := context.WithCancel(n.group.Context())
+		cancel()
+		if r.delivery == nil {
+			r.delivery, _ = n.memory.Reserve(ctx, memory.Deliveries, r.rank, size)
+		} else {
+			r.delivery.Grow(ctx, size)
+		}
 	}
 	x.HoldAnswer(r.delivery)
 }
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -7,6 +7,7 @@
 
 	"lovagelane/directory"
 	"lovagelane/kernel"
+	"lovagelane/memory"
 	"lovagelane/quarantine"
 	"lovagelane/slots"
 )
@@ -78,6 +79,8 @@
 	nodeUnreachable bool
 	// repeatTaken is set by the sending node when the repeat of a call without answer was taken from the retry budget.
 	repeatTaken bool
+	// reserved is the memory reserved for the body, if the own backend server sent it.
+	reserved *memory.Reservation
 }
 
 // maxMillis bounds the times in messages, so that they can't overflow.
--- a/mesh/serving.go
+++ b/mesh/serving.go
@@ -7,6 +7,7 @@
 
 	"lovagelane/directory"
 	"lovagelane/link"
+	"lovagelane/memory"
 	"lovagelane/quarantine"
 	"lovagelane/slots"
 )
@@ -29,6 +30,9 @@
 	// capped is set if the call counts against the cap of its route; capGeneration is then the value that Caps.Admit returned.
 	capped        bool
 	capGeneration int
+	// abandoned is set once nobody takes the answer of a call of this node, and reserved is the memory reserved for it.
+	abandoned bool
+	reserved  *memory.Reservation
 	// conn is the connection to the backend server that carries the call.
 	conn *backendConn
 }
@@ -282,6 +286,31 @@
 			"crashed", x.crashed, "cancelled", j.cancelled, "ran", ran)
 	}
 	runAll(callbacks)
+	if j.remote {
+		defer x.reserved.Release()
+	} else {
+		a.reserved = j.keep(x.reserved)
+	}
 	j.complete(a)
-	x.reserved.Release()
+}
+
+// keep hands the memory reserved for the answer of a job over to who takes the answer, or releases it if nobody does.
+func (j *job) keep(r *memory.Reservation) *memory.Reservation {
+	j.n.mu.Lock()
+	defer j.n.mu.Unlock()
+	if j.abandoned {
+		r.Release()
+		return nil
+	}
+	j.reserved = r
+	return r
+}
+
+// abandon cancels a job of this node whose answer nobody takes.
+func (j *job) abandon() {
+	j.cancel()
+	j.n.mu.Lock()
+	defer j.n.mu.Unlock()
+	j.abandoned = true
+	j.reserved.Release()
 }
