Name the mutation of the restart test exactly

Cause: a node learns of a stopping owner in two ways, so that a fault in one of them leaves the test green. Change: the comment of the test.

--- a/allowance/member_test.go
+++ b/allowance/member_test.go
@@ -242,7 +242,7 @@
 
 // Guards against requests that are refused since the owner of their key is being restarted: the others take their parts back as soon
 // as it says so, or when its process has ended.
-// Mutations: HandleReply ignores Released; Lost leaves lentUntil.
+// Mutations: HandleReply ignores Released in both places; Lost leaves lentUntil.
 func TestRestartOfTheOwnerIsBridged(t *testing.T) {
 	for name, end := range map[string]func(n *network, owner int){
 		"stopped": func(n *network, owner int) { n.release(owner) },
