Compare failure rates across regions

Change: a backend server of another region counts as failing at least as often as its region does on average. In the own region rates count as they are, less one standard deviation above the average.

--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -133,8 +133,7 @@
 // Chooser tracks the load, run time and failures of all backend servers and chooses among them. The caller serializes
 // access to it. Its zero value has no candidates.
 type Chooser struct {
-	// CompareInRegion has the failure rate of a backend server count only as far as it differs from that of its region by more
-	// than chance explains.
+	// CompareInRegion has a backend server of another region count as failing at least as often as its region does on average.
 	CompareInRegion bool
 
 	home      balance.Place
@@ -408,39 +407,34 @@
 }
 
 func (c *Chooser) updateFailureRate(now time.Time, p *peer, failed float64) {
+	rate := p.currentFailureRate(now)
+	p.failureRate, p.failureRateAt = rate+(failed-rate)*failureSmoothing, now
 	if !c.CompareInRegion {
-		rate := p.currentFailureRate(now)
-		p.failureRate, p.failureRateAt = rate+(failed-rate)*failureSmoothing, now
 		return
 	}
-	key := p.candidate.serviceRegion()
-	rate := p.failureRateIn(now, c.regionFailures[key].current(now))
-	p.failureRate, p.failureRateAt = rate+(failed-rate)*failureSmoothing, now
 	if c.regionFailures == nil {
 		c.regionFailures = map[serviceRegion]regionFailures{}
 	}
+	key := p.candidate.serviceRegion()
 	c.regionFailures[key] = c.regionFailures[key].with(now, failed)
 }
 
-// expectedFailureRate returns the failure rate that a call to a backend server is expected to meet. Rates of a few calls differ by
-// chance, and no call should travel for that: the rate is that of the region, and what lies beyond chance is added.
+// expectedFailureRate returns the failure rate that a call to a backend server is expected to meet. Rates of a few calls scatter, and
+// no call should leave its region for that: in another region, the rate is at least the average of that region, and in the own one
+// the standard deviation is taken off what lies above the average.
 func (c *Chooser) expectedFailureRate(now time.Time, p *peer) float64 {
+	rate := p.currentFailureRate(now)
 	if !c.CompareInRegion {
-		return p.currentFailureRate(now)
+		return rate
 	}
 	mean := c.regionFailures[p.candidate.serviceRegion()].current(now)
-	difference := p.failureRateIn(now, mean) - mean
-	chance := math.Sqrt(mean * (1 - mean) * failureSmoothing / (2 - failureSmoothing))
-	return mean + math.Copysign(max(0, math.Abs(difference)-chance), difference)
-}
-
-// failureRateIn returns the failure rate of a backend server in a region with the given average. Without calls it approaches the
-// average, so that the backend server is tried again.
-func (p *peer) failureRateIn(now time.Time, mean float64) float64 {
-	if p.failureRateAt.IsZero() {
-		return mean
+	switch {
+	case p.candidate.Place.Region != c.home.Region:
+		return max(rate, mean)
+	case rate > mean:
+		return max(mean, rate-math.Sqrt(mean*(1-mean)*failureSmoothing/(2-failureSmoothing)))
 	}
-	return mean + (p.failureRate-mean)*math.Exp2(-now.Sub(p.failureRateAt).Seconds()/observationHalfLife.Seconds())
+	return rate
 }
 
 // regionFailures is the moving average of the failure rate of a service in a region.
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -70,8 +70,7 @@
 	// GiveWay limits the requests that are started of a kind that mostly fails while a more important kind mostly fails as well. It
 	// needs WholeChains.
 	GiveWay bool
-	// CompareFailures has the failure rate of a backend server count only as far as it differs from that of its region by more than
-	// chance explains.
+	// CompareFailures has a backend server of another region count as failing at least as often as its region does on average.
 	CompareFailures bool
 }
 
