Show that the average of another region keeps calls at home

Cause: a mutation that leaves out the average of another region left TestEqualFailureRatesKeepCallsInTheirRegion green, with four backend servers there. The lowest of many rates matters, so there are twelve now; bounds are as they were.

--- a/dispatch/chooser_test.go
+++ b/dispatch/chooser_test.go
@@ -295,11 +295,12 @@
 	require.Equal(t, "near", choose(t, &c, start, q).Address)
 }
 
-// spreadCalls sends calls in a row for a time to a service with four backend servers in each of two regions, of which those for which
-// rejects returns a share reject it, and returns the share of the calls that left the region.
+// spreadCalls sends calls for a time to a service with four backend servers in the own region and twelve in another one. Each rejects
+// the share of its calls that rejects returns. It returns the share of the calls that left the region.
 func spreadCalls(c *dispatch.Chooser, seed uint64, now time.Time, length time.Duration, rejects func(address string) float64) float64 {
 	var candidates []dispatch.Candidate
-	for _, address := range []string{"near-1", "near-2", "near-3", "near-4", "far-1", "far-2", "far-3", "far-4"} {
+	for _, address := range []string{"near-1", "near-2", "near-3", "near-4", "far-1", "far-2", "far-3", "far-4", "far-5", "far-6", "far-7", "far-8",
+		"far-9", "far-10", "far-11", "far-12"} {
 		place := home
 		if strings.HasPrefix(address, "far") {
 			place = balance.Place{Region: "ce", AvailabilityZone: "ce-1"}
