Serve accounts within their quota right after all nodes were restarted

Change: a started node uses what its part yields from its start on, where the settings leave room; it lends after 1 s if the others knew it.

--- a/allowance/fakes_test.go
+++ b/allowance/fakes_test.go
@@ -77,7 +77,7 @@
 	m := n.members[i]
 	m.starts++
 	m.up, m.pausedUntil = true, 0
-	m.Member = &allowance.Member{Address: m.name, Incarnation: uint64(i+1)<<32 + m.starts, Started: n.reading(i)}
+	m.Member = &allowance.Member{Address: m.name, Incarnation: uint64(i+1)<<32 + m.starts, Started: n.reading(i), Rejoined: m.starts > 1}
 	n.inform(i)
 }
 
--- a/allowance/member.go
+++ b/allowance/member.go
@@ -23,8 +23,12 @@
 	// minAvoidTime and maxAvoidTime bound how long a silent owner is not asked again.
 	minAvoidTime = 2 * time.Second
 	maxAvoidTime = 8 * time.Second
-	// startDelay is how long a started node uses and lends no part: meanwhile the other nodes learn of it.
-	startDelay = 2 * time.Second
+	// startDelay is how long a started node doesn't lend its part, so that the other nodes learn of it first. rejoinDelay is that of a
+	// node that the others know: what its former process lent has to come back.
+	startDelay  = 2 * time.Second
+	rejoinDelay = time.Second
+	// startShare bounds the whole tokens that all nodes have at their start, where their parts are below one, as a share of Limit.Most.
+	startShare = 1 - toleranceUsed
 	// maxHold is how long requests of a key are refused without asking, and unknownRetryAfter when a request may come back that
 	// was refused because no owner answered.
 	maxHold           = 250 * time.Millisecond
@@ -83,6 +87,8 @@
 	Incarnation uint64
 	// Started is when the process has started.
 	Started Reading
+	// Rejoined is set if the other nodes knew this one before its start.
+	Rejoined bool
 
 	nodes   []string
 	nodeSet map[string]struct{}
@@ -120,6 +126,8 @@
 	own         bucket
 	ownCapacity float64
 	ownPeriod   int
+	// startTaken is the number of tokens that were taken within startDelay of the start of the node.
+	startTaken float64
 }
 
 // lot is a number of equal tokens.
@@ -223,7 +231,7 @@
 		if s == nil {
 			// The part may still be lent to the owner of an old group that held some of the keys.
 			s = &groupState{group: g, asks: map[uint64]sentAsk{}, returns: map[returnKey]int{},
-				lentUntil: max(m.Started.Steady+startDelay, m.lastLent())}
+				lentUntil: max(m.Started.Steady+m.lendDelay(), m.lastLent())}
 			m.groups[g] = s
 		}
 		s.order = rendezvousOrder(fmt.Sprint(g.Index, "/", g.Count), m.nodes, candidatesPerGroup)
@@ -264,7 +272,7 @@
 		return
 	}
 	s := m.groups[k.group]
-	if m.takeOwn(now, key, k, s, l) {
+	if m.takeOwn(now, key, k, s, l) || m.takeStart(now, key, k, l) {
 		decide(Granted{Token{key: key, asked: now}})
 		return
 	}
@@ -383,6 +391,30 @@
 	return true
 }
 
+// lendDelay returns how long after its start the node lends no part.
+func (m *Member) lendDelay() time.Duration {
+	if m.Rejoined {
+		return rejoinDelay
+	}
+	return startDelay
+}
+
+// takeStart takes a token of what the node's part has yielded since its start, while the part is not lent yet. After a restart of all
+// nodes there is no owner to ask. Parts below one token begin at a fraction that differs from node to node.
+func (m *Member) takeStart(now Reading, key string, k *keyState, l Limit) bool {
+	elapsed, n := now.longestSince(m.Started), float64(len(m.nodes))
+	if n == 0 || l.Most == 0 || elapsed >= m.lendDelay() {
+		return false // A limit without tolerance leaves no room for what the former process of the node has just used.
+	}
+	whole := min(1, 2*startShare*l.Most/n)
+	fraction := float64(hash(key, m.Address)>>11) / (1 << 53)
+	if k.startTaken+1 > l.Rate*elapsed.Seconds()/n+fraction*whole {
+		return false
+	}
+	k.startTaken++
+	return true
+}
+
 // freeAt returns when the part may be used again after it was lent.
 func (s *groupState) freeAt() time.Duration { return s.lentUntil + handoverDelay }
 
--- a/allowance/member_test.go
+++ b/allowance/member_test.go
@@ -263,6 +263,41 @@
 	}
 }
 
+// Guards against requests within their limits that are refused for seconds after all nodes were restarted, when no node has an owner
+// to ask. Each account asks for half of its limit, spread over all nodes. A node's part yields that within the second in which no part
+// is lent; half of the requests of that second is asked for, since an account may come with its first request to a node whose part
+// has yielded no token yet.
+// Mutation: takeStart always reports false.
+func TestKeysAreServedAfterAllNodesRestarted(t *testing.T) {
+	limits := map[string]allowance.Limit{}
+	for _, key := range []string{"a", "b", "c"} {
+		limits[key] = allowance.Limit{Rate: 100, Burst: 100}.Tolerant(window, 0.1, 20)
+	}
+	n := newNetwork(1, 32, limits)
+	demand := func() {
+		for key := range limits {
+			if n.rand.IntN(4) == 0 { // A quarter of 200 steps a second.
+				n.request(n.rand.IntN(len(n.members)), key, false)
+			}
+		}
+	}
+	n.advance(5*time.Second, demand)
+	for i := range n.members {
+		n.members[i].up = false
+	}
+	n.advance(500*time.Millisecond, nil)
+	for i := range n.members {
+		n.start(i)
+	}
+	n.granted, n.refused, n.unknown = 0, 0, 0
+	n.advance(time.Second, demand)
+	require.Greater(t, n.granted, (n.granted+n.refused+n.unknown)/2)
+	n.advance(time.Second, demand)
+	n.granted, n.refused, n.unknown = 0, 0, 0
+	n.advance(3*time.Second, demand)
+	require.Zero(t, n.refused+n.unknown)
+}
+
 // Guards against messages that name no group, key or node and crash a node or lend it something.
 // Mutation: Ask.valid returns true.
 func TestForgedMessagesAreIgnored(t *testing.T) {
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -26,6 +26,8 @@
 type quotas struct {
 	mu     sync.Mutex
 	member allowance.Member
+	// informed is set once the member knows the nodes.
+	informed bool
 	// scarceUntil holds the accounts whose requests were refused lately.
 	scarceUntil map[string]time.Time
 	labels      kernel.Set[string]
@@ -69,6 +71,7 @@
 	if !n.recovery.directoryRead && n.directory.Version() == 0 {
 		return
 	}
+	_, rejoined := n.directory.Entry(n.settings.CallsAddress)
 	addresses := []string{n.settings.CallsAddress}
 	for _, node := range n.directory.Nodes() {
 		if node.Address != n.settings.CallsAddress {
@@ -78,6 +81,8 @@
 	slices.Sort(addresses)
 	n.quotas.mu.Lock()
 	defer n.quotas.mu.Unlock()
+	n.quotas.member.Rejoined = n.quotas.member.Rejoined || rejoined && !n.quotas.informed
+	n.quotas.informed = true
 	n.quotas.member.SetNodes(n.reading(), addresses)
 }
 
