Report every mistake of a configuration with its place

Cause: the readers of a configuration stop at the first mistake and name no position, so that a check can't list them. Change: routing.Problems carry the place (entry and field, or line and column); routing.New and the reader of the platform collect them, and account.NewSet names the index of the account at fault. Limits on headers and idle connections are read, for the check.

--- a/account/account.go
+++ b/account/account.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"slices"
 
 	"github.com/zeebo/errs"
@@ -49,6 +50,8 @@
 type Set struct {
 	byName map[string]*Account
 	byKey  map[keyHash]*Account
+	// position is the index of each account in the list that NewSet got.
+	position map[string]int
 }
 
 type keyHash [sha256.Size]byte
@@ -75,31 +78,44 @@
 	return hex.EncodeToString(h[:4])
 }
 
-// NewSet validates accounts and returns them as a set. An account may have no keys: its last one was withdrawn.
+// Invalid is the error for an invalid account, with its index in the list, the mistake and the remedy.
+type Invalid struct {
+	Index        int
+	What, Remedy string
+}
+
+// Error returns the mistake and the remedy.
+func (e Invalid) Error() string { return e.What + ": " + e.Remedy }
+
+// NewSet validates accounts and returns them as a set, or an error that wraps Invalid. An account may have no keys: its last one
+// was withdrawn.
 func NewSet(list []Credentials) (Set, error) {
-	s := Set{byName: make(map[string]*Account, len(list)), byKey: map[keyHash]*Account{}}
+	s := Set{byName: make(map[string]*Account, len(list)), byKey: map[keyHash]*Account{}, position: map[string]int{}}
 	for i := range list {
 		a := list[i].Account
+		invalid := func(remedy, format string, args ...any) (Set, error) {
+			return Set{}, Err.Wrap(Invalid{Index: i, What: fmt.Sprintf(format, args...), Remedy: remedy})
+		}
 		switch {
 		case a.Name == "" || len(a.Name) > maxNameBytes:
-			return Set{}, Err.New("account %d has a name of %d bytes: use 1 to %d", i, len(a.Name), maxNameBytes)
+			return invalid(fmt.Sprintf("use 1 to %d", maxNameBytes), "account %d has a name of %d bytes", i, len(a.Name))
 		case !isHeaderValue(a.Name):
-			return Set{}, Err.New("account %d has a name with control characters, which a header can't hold: remove them", i)
+			return invalid("remove them", "account %d has a name with control characters, which a header can't hold", i)
 		case s.byName[a.Name] != nil:
-			return Set{}, Err.New("account %s is listed twice: join the entries", a.Name)
+			return invalid("join the entries", "account %s is listed twice", a.Name)
 		case a.Rank.Or(0) < 0:
-			return Set{}, Err.New("account %s has the rank %d: use 0 or more", a.Name, a.Rank.Or(0))
+			return invalid("use 0 or more", "account %s has the rank %d", a.Name, a.Rank.Or(0))
 		case a.Quota.Rate < 0 || a.Quota.Burst < 0:
-			return Set{}, Err.New("account %s has the rate %g and the burst %g: use 0 or more", a.Name, a.Quota.Rate, a.Quota.Burst)
+			return invalid("use 0 or more", "account %s has the rate %g and the burst %g", a.Name, a.Quota.Rate, a.Quota.Burst)
 		}
-		s.byName[a.Name] = &a
+		s.byName[a.Name], s.position[a.Name] = &a, i
 		for _, key := range list[i].Keys {
 			if key == "" {
-				return Set{}, Err.New("account %s has an empty key: remove it", a.Name)
+				return invalid("remove it", "account %s has an empty key", a.Name)
 			}
 			h := hashOf(key)
 			if other := s.byKey[h]; other != nil && other != &a {
-				return Set{}, Err.New("accounts %s and %s have the same key %s: remove it from one", other.Name, a.Name, Fingerprint(key))
+				return invalid("remove it from one", "accounts %s and %s have the same key %s", other.Name, a.Name, Fingerprint(key))
 			}
 			s.byKey[h] = &a
 		}
@@ -144,3 +160,36 @@
 	slices.SortFunc(list, func(a, b Account) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
+
+// Position returns the index of an account in the list that the set was made from, or 0 if there is no such account.
+func (s Set) Position(name string) int { return s.position[name] }
+
+// KeyCount returns the number of keys that identify an account.
+func (s Set) KeyCount(name string) int {
+	n := 0
+	for _, a := range s.byKey {
+		if a.Name == name {
+			n++
+		}
+	}
+	return n
+}
+
+// KeyChanges returns how many keys of an account are new since an old set, and how many of the old ones are gone.
+func (s Set) KeyChanges(old Set, name string) (added, withdrawn int) {
+	return s.keysBeyond(old, name), old.keysBeyond(s, name)
+}
+
+// keysBeyond returns the number of keys of an account that do not identify it in another set.
+func (s Set) keysBeyond(other Set, name string) int {
+	n := 0
+	for h, a := range s.byKey {
+		if a.Name != name {
+			continue
+		}
+		if b := other.byKey[h]; b == nil || b.Name != name {
+			n++
+		}
+	}
+	return n
+}
--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -22,8 +22,10 @@
 	Store() Store
 	// ConfigRow returns the table and the key of the row that holds the operators' configuration.
 	ConfigRow() (table, key string)
-	// ReadConfig parses and validates the operators' configuration.
+	// ReadConfig parses and validates the operators' configuration. The error wraps routing.Problems.
 	ReadConfig(value []byte) (*routing.Config, error)
+	// ConfigPath returns the path of a place in the format of the operators' configuration.
+	ConfigPath(at routing.Place) string
 	// ReadyPath returns the path of the readiness endpoint.
 	ReadyPath() string
 	// ReadRequest extracts the request id, the remaining time and the API key from the headers of a request.
--- a/routing/config.go
+++ b/routing/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -49,17 +50,24 @@
 	MaxConnections int
 }
 
-// Limits holds the size limits of requests.
+// Limits bounds what callers may send. Nodes apply BodyBytes; their own limits stand in for the others.
 type Limits struct {
 	// BodyBytes is the maximum size of a request body; zero means no bound.
 	BodyBytes int64
+	// HeaderBytes is the maximum size of the headers of a request; zero means no bound.
+	HeaderBytes int64
+	// HeaderTimeout is how long a caller may take to send the headers; zero means no bound.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection of a caller may be idle; zero means no bound.
+	IdleTimeout time.Duration
 }
 
 // Config is one version of the routes and services. It is immutable after New.
 type Config struct {
-	version  uint64
-	limits   Limits
-	services map[string]Service
+	version     uint64
+	limits      Limits
+	services    map[string]Service
+	serviceList []Service
 	// byHost holds the routes of each host, the longest prefix first.
 	byHost   map[string][]*Route
 	routes   []*Route
@@ -68,61 +76,75 @@
 	routeRanks, leastAccountRank int
 }
 
-// New validates the routes and returns a configuration.
+// New validates the routes and returns a configuration, or Problems with every mistake.
 func New(version uint64, routes []Route, services []Service, limits Limits) (*Config, error) {
-	c := &Config{version: version, limits: limits, services: make(map[string]Service, len(services)), byHost: map[string][]*Route{}}
+	c := &Config{version: version, limits: limits, services: make(map[string]Service, len(services)),
+		serviceList: slices.Clone(services), byHost: map[string][]*Route{}}
 	for _, s := range services {
 		c.services[s.Name] = s
 	}
+	var problems Problems
 	for i := range routes {
 		r := routes[i]
-		if err := c.validateRoute(r); err != nil {
-			return nil, err
-		}
+		c.validateRoute(&problems, i, r)
 		r.Targets = slices.Clone(r.Targets)
 		r.MaxAttempts = max(r.MaxAttempts, 1)
 		c.byHost[r.Host] = append(c.byHost[r.Host], &r)
 		c.routes = append(c.routes, &r)
 		c.routeRanks = max(c.routeRanks, r.Rank+1)
 	}
+	if len(problems) > 0 {
+		return nil, Err.Wrap(problems)
+	}
 	for _, hostRoutes := range c.byHost {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	return c, nil
 }
 
-func (c *Config) validateRoute(r Route) error {
-	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		return Err.New("route %s has host %q and prefix %q: set a host and a prefix that begins and ends with a slash", r.Name, r.Host, r.Prefix)
+func (c *Config) validateRoute(problems *Problems, i int, r Route) {
+	at := Place{Kind: KindRoute, Index: i, Name: r.Name}
+	if r.Host == "" {
+		problems.Add(at.WithField(FieldHost), "route "+r.Name+" has no host", "set one")
 	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		problems.Add(at.WithField(FieldPrefix), fmt.Sprintf("route %s has the prefix %q", r.Name, r.Prefix),
+			"begin and end it with a slash")
+	}
+	at = at.WithField(FieldTargets)
 	if len(r.Targets) == 0 {
-		return Err.New("route %s has no target service: add one", r.Name)
+		problems.Add(at, "route "+r.Name+" has no target service", "add one")
+		return
 	}
-	sum := 0
+	sum, valid := 0, true
 	for _, t := range r.Targets {
 		if _, ok := c.services[t.Service]; !ok {
-			return Err.New("route %s has target %s, which is not a configured service: add it to the services", r.Name, t.Service)
+			problems.Add(at, fmt.Sprintf("route %s has target %s, which is not a configured service", r.Name, t.Service),
+				"add it to the services")
 		}
 		if t.Weight < 0 {
-			return Err.New("route %s has target %s with weight %d: use 0 or more", r.Name, t.Service, t.Weight)
+			problems.Add(at, fmt.Sprintf("route %s has target %s with weight %d", r.Name, t.Service, t.Weight), "use 0 or more")
+			valid = false
 		}
 		sum += t.Weight
 	}
-	if sum == 0 {
-		return Err.New("route %s has no target with a weight above 0: set one", r.Name)
+	if valid && sum == 0 {
+		problems.Add(at, "route "+r.Name+" has no target with a weight above 0", "set one")
 	}
-	return nil
 }
 
 // Version returns the version number, by which configurations are ordered.
 func (c *Config) Version() uint64 { return c.version }
 
-// Limits returns the size limits of requests.
+// Limits returns the bounds of what callers may send.
 func (c *Config) Limits() Limits { return c.limits }
 
 // Routes returns all routes. The caller must not modify the result.
 func (c *Config) Routes() []*Route { return c.routes }
 
+// Services returns all services in the order of the configuration.
+func (c *Config) Services() []Service { return slices.Clone(c.serviceList) }
+
 // WithAccounts returns a copy of the configuration in which the requests of all but the public routes belong to one of the
 // accounts. An empty set changes nothing.
 func (c *Config) WithAccounts(accounts account.Set) *Config {
