--- a/account/account.go
+++ b/account/account.go
@@ -50,7 +50,8 @@
 type Set struct {
 	byName map[string]*Account
 	byKey  map[keyHash]*Account
-	// position is the index of each account in the list that NewSet got.
+	// hashes holds the keys of each account by its name, and position its index in the list that NewSet got.
+	hashes   map[string][]keyHash
 	position map[string]int
 }
 
@@ -90,7 +91,8 @@
 // NewSet validates accounts and returns them as a set, or an error that wraps Invalid. An account may have no keys: its last one
 // was withdrawn.
 func NewSet(list []Credentials) (Set, error) {
-	s := Set{byName: make(map[string]*Account, len(list)), byKey: map[keyHash]*Account{}, position: map[string]int{}}
+	s := Set{byName: make(map[string]*Account, len(list)), byKey: map[keyHash]*Account{},
+		hashes: map[string][]keyHash{}, position: map[string]int{}}
 	for i := range list {
 		a := list[i].Account
 		invalid := func(remedy, format string, args ...any) (Set, error) {
@@ -117,6 +119,9 @@
 			if other := s.byKey[h]; other != nil && other != &a {
 				return invalid("remove it from one", "accounts %s and %s have the same key %s", other.Name, a.Name, Fingerprint(key))
 			}
+			if s.byKey[h] == nil {
+				s.hashes[a.Name] = append(s.hashes[a.Name], h)
+			}
 			s.byKey[h] = &a
 		}
 	}
@@ -165,15 +170,7 @@
 func (s Set) Position(name string) int { return s.position[name] }
 
 // KeyCount returns the number of keys that identify an account.
-func (s Set) KeyCount(name string) int {
-	n := 0
-	for _, a := range s.byKey {
-		if a.Name == name {
-			n++
-		}
-	}
-	return n
-}
+func (s Set) KeyCount(name string) int { return len(s.hashes[name]) }
 
 // KeyChanges returns how many keys of an account are new since an old set, and how many of the old ones are gone.
 func (s Set) KeyChanges(old Set, name string) (added, withdrawn int) {
@@ -183,11 +180,8 @@
 // keysBeyond returns the number of keys of an account that do not identify it in another set.
 func (s Set) keysBeyond(other Set, name string) int {
 	n := 0
-	for h, a := range s.byKey {
-		if a.Name != name {
-			continue
-		}
-		if b := other.byKey[h]; b == nil || b.Name != name {
+	for _, h := range s.hashes[name] {
+		if a := other.byKey[h]; a == nil || a.Name != name {
 			n++
 		}
 	}
--- a/routing/config.go
+++ b/routing/config.go
@@ -111,7 +111,10 @@
 		problems.Add(at.WithField(FieldPrefix), fmt.Sprintf("route %s has the prefix %q", r.Name, r.Prefix),
 			"begin and end it with a slash")
 	}
-	at = at.WithField(FieldTargets)
+	if len(r.Targets) > 1 {
+		// A single target may be written in another field than a list.
+		at = at.WithField(FieldTargets)
+	}
 	if len(r.Targets) == 0 {
 		problems.Add(at, "route "+r.Name+" has no target service", "add one")
 		return
