Test the comparison of keys that move between accounts

Cause: a trial that drops the comparison of the account's name in account.Set.KeyChanges left the tests green. Change: a case with keys that move between two accounts that both versions have. Result: red with that change, green without it.

--- a/preflight/preflight_test.go
+++ b/preflight/preflight_test.go
@@ -140,6 +140,14 @@
 		"~ limits idle-timeout: none -> 1s",
 	}, lines)
 	require.Len(t, preflight.Changes(nil, old.build(t)), 7)
+
+	// Keys that move between accounts are withdrawn from one and added to the other.
+	moved := newDraft()
+	moved.accounts[0].Keys, moved.accounts[1].Keys = moved.accounts[1].Keys, moved.accounts[0].Keys
+	require.Equal(t, []preflight.Change{
+		preflight.KeysChanged{Subject: preflight.Subject{Kind: routing.KindAccount, Name: "bodmin"}, Added: 2, Withdrawn: 1},
+		preflight.KeysChanged{Subject: preflight.Subject{Kind: routing.KindAccount, Name: "truro"}, Added: 1, Withdrawn: 2},
+	}, preflight.Changes(old.build(t), moved.build(t)))
 }
 
 // Guards against a configuration that is sent and that nodes ignore, because its version does not exceed the one in force.
