Do not run a request whose caller left while it waited for its quota

Cause: a request may wait up to 0.5 s for a token; a caller that left meanwhile was not noticed before the call was sent. Found by reading. Change: takeQuota returns the token and ends the request as left. Result: TestRequestOfACallerThatLeftTakesNoQuota, red without the check.

--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -105,6 +105,13 @@
 			return refusedResult{reason: "quota-unknown", retryAfter: o.RetryAfter}
 		case allowance.Granted:
 			r.token = o.Token
+			select {
+			case <-r.callerGone:
+				// It left while the request waited for the token, so that the request must not run.
+				n.returnToken(r)
+				return failedResult{reason: "caller-left"}
+			default:
+			}
 		}
 	case <-n.group.Context().Done():
 		return refusedResult{reason: "stopping", retryAfter: notReadyRetryAfter}
@@ -117,6 +124,10 @@
 	if _, notRun := res.(refusedResult); !notRun || !r.account.Quota.Limited() {
 		return
 	}
+	n.returnToken(r)
+}
+
+func (n *Node) returnToken(r *request) {
 	n.withQuotas(func(m *allowance.Member, now allowance.Reading) { m.Return(now, r.token) })
 }
 
