--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -114,7 +115,7 @@
 
 // ParseMesh parses the settings of a mesh node and returns either them or inifile.Problems with every mistake.
 func ParseMesh(file, text string) (Mesh, error) {
-	sections, problems := inifile.Read(file, text, meshKinds)
+	sections, problems := inifile.Read(file, dropUnset(text), meshKinds)
 	r := &reader{sections: map[string]inifile.Section{}, listenerKeys: map[string]string{}}
 	r.Problems = problems
 	for _, s := range sections {
@@ -132,6 +133,18 @@
 	return m, nil
 }
 
+// dropUnset empties the lines of optional keys without a value, which a template leaves where it has none.
+func dropUnset(text string) string {
+	lines := strings.Split(text, "\n")
+	for i, line := range lines {
+		key, value, ok := strings.Cut(line, "=")
+		if ok && strings.TrimSpace(value) == "" && slices.Contains(meshKinds[0].Optional, strings.TrimSpace(key)) {
+			lines[i] = ""
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
 func (r *reader) mesh(s inifile.Section) Mesh {
 	m := Mesh{
 		Deployment:       r.Name(s, "deployment"),
--- a/settings/mesh_test.go
+++ b/settings/mesh_test.go
@@ -50,6 +50,19 @@
 		MaxDescriptors: 4100, CallerConnections: 900, ConnectionKB: 512}, m)
 }
 
+// Guards against a node that doesn't start because a template had no value for an optional setting, and against a required one that
+// may be empty.
+func TestParseMeshTakesEmptyOptionalSettingsAsUnset(t *testing.T) {
+	text := strings.NewReplacer("quota-window = 5s", "quota-window =", "max-descriptors = 4100", "max-descriptors = ").Replace(validMesh)
+	m, err := settings.ParseMesh("mesh.ini", text)
+	require.NoError(t, err)
+	require.Zero(t, m.QuotaWindow)
+	require.Zero(t, m.MaxDescriptors)
+	require.Equal(t, 900, m.CallerConnections)
+	_, err = settings.ParseMesh("mesh.ini", strings.Replace(validMesh, "region = rn\n", "region =\n", 1))
+	require.ErrorContains(t, err, "region has no value")
+}
+
 // Guards against invalid settings that are accepted, or that are reported without the line or the remedy.
 func TestParseMeshReportsMistakes(t *testing.T) {
 	for name, tc := range map[string]struct{ old, new, want string }{
