Pull a new configuration after one message of a node that has it

Cause: a node whose store doesn't answer asked another one for a newer configuration only when a second status of it arrived, up to 2 s for each hop. Change: the node pulls at the end of its grace period without a further message, and a node that puts a version in force tells its neighbours the number.

--- a/intake/sweep.go
+++ b/intake/sweep.go
@@ -103,8 +103,8 @@
 }
 
 // displace closes a connection in favour of a new one and reports whether there was one to close: one that is idle for longer than
-// stallTimeout, or whose request takes longer than that to arrive. Those of the peer with most connections go first, then those on which no
-// request has come, then those that are idle for longest.
+// stallTimeout, or whose request takes longer than that to arrive. Those of the peer with most connections go first, then those on
+// which no request has come, then those that are idle for longest.
 func (s *Server) displace() bool {
 	list := slices.DeleteFunc(s.progressOf(), func(p progress) bool {
 		return p.idle < stallTimeout && (p.stalled < stallTimeout || p.k.writing.Load() > 0)
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -218,7 +218,8 @@
 // attempt sends the request to one node and waits for the answer. It returns a result instead if the caller disconnects or
 // the deadline passes.
 func (n *Node) attempt(now time.Time, r *request, choice dispatch.Choice) (answerMessage, result) {
-	m := callMessage{Service: r.service, Route: r.route.Name, RequestID: r.id, Caller: n.settings.Service, Account: r.account.Name, Rank: r.rank,
+	m := callMessage{Service: r.service, Route: r.route.Name, RequestID: r.id, Caller: n.settings.Service, Account: r.account.Name,
+		Rank:       r.rank,
 		Idempotent: r.route.Idempotent, RemainingMS: r.deadline.Sub(now).Milliseconds(),
 		WaitMS: choice.MaxWait.Milliseconds(), Digest: r.digest, Head: r.head, Body: r.body, Repeated: r.repeated}
 	if r.sent > 0 {
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"time"
 
 	"lovagelane/directory"
@@ -76,16 +77,25 @@
 	n.pullIfBehind(theirs, reply, storeGrace)
 }
 
-// pullIfBehind pulls newer state from another node once this node has been behind it for at least the grace period.
+// pullIfBehind pulls newer state from another node once this node has been behind it for at least the grace period. A newer
+// configuration is pulled at the end of that period, without another message of the other node.
 func (n *Node) pullIfBehind(theirs versions, reply func([]byte), grace time.Duration) {
 	now := n.clock.Now()
 	n.mu.Lock()
 	ours := n.versionsLocked()
+	learned := ours.ConfigVersion < theirs.ConfigVersion && ours.ConfigVersion >= n.configLag.version
 	pull := n.configLag.exceeds(grace, now, ours.ConfigVersion, theirs.ConfigVersion)
 	pull = n.directoryLag.exceeds(grace, now, ours.DirectoryVersion, theirs.DirectoryVersion) || pull
 	n.mu.Unlock()
-	if pull {
+	switch {
+	case pull:
 		reply(encode(gossipMessage{PullSince: &ours}))
+	case learned:
+		n.group.Go("pull-config", func(ctx context.Context) error {
+			sleep(ctx, grace)
+			n.pullIfBehind(theirs, reply, grace)
+			return nil
+		})
 	}
 }
 
@@ -127,8 +137,11 @@
 		n.directory.AdvanceVersion(m.DirectoryVersion)
 		n.mu.Unlock()
 	}
-	if len(m.Config) > 0 {
+	switch {
+	case len(m.Config) > 0:
 		n.applyConfig(m.Config, "node")
+	case m.ConfigVersion > 0:
+		n.pullIfBehind(versions{ConfigVersion: m.ConfigVersion}, reply, storeGrace)
 	}
 	if m.KeepDeparture != nil {
 		n.mu.Lock()
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -104,7 +104,8 @@
 // valid reports whether the outcome is known and the other fields are within their bounds.
 func (a answerMessage) valid() bool {
 	l := a.Load
-	return a.Outcome <= outcomeUnreadable && a.Ends <= chain.MaxReport && inRange(a.RanMicros, 1000*maxMillis) && inRange(a.WaitedMicros, 1000*maxMillis) &&
+	return a.Outcome <= outcomeUnreadable && a.Ends <= chain.MaxReport &&
+		inRange(a.RanMicros, 1000*maxMillis) && inRange(a.WaitedMicros, 1000*maxMillis) &&
 		inRange(l.WaitMS, maxMillis) && inRange(int64(l.Running), maxReportedCalls) && inRange(int64(l.Waiting), maxReportedCalls) &&
 		inRange(int64(l.Limit), maxReportedCalls) && inRange(l.RunMicros, 1000*maxMillis)
 }
@@ -148,7 +149,8 @@
 type gossipMessage struct {
 	// Rows are directory rows that the receiver lacks.
 	Rows []directory.Entry `cbor:"1,keyasint,omitempty"`
-	// ConfigVersion and Config are the version and the encoded text of the operators' configuration.
+	// ConfigVersion and Config are the version and the encoded text of the operators' configuration. A version without a text says
+	// that the sender has it.
 	ConfigVersion uint64 `cbor:"2,keyasint,omitempty"`
 	Config        []byte `cbor:"3,keyasint,omitempty"`
 	// PullSince requests all state that is newer than these versions.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -208,7 +208,8 @@
 	n.group = kernel.NewGroup(ctx)
 	n.pool = kernel.NewPool(maxWorkers, maxQueuedRuns)
 	n.callers = &intake.Server{Handler: n.handleCaller, Unreadable: n.handleUnreadable, ReserveBody: n.reserveBody, Group: n.group,
-		Budget: n.memory, MaxConnections: limits.callers, MaxConnectionBytes: limits.connectionBytes, MaxPipelined: cmp.Or(o.Settings.PipelinedRequests, defaultPipelined),
+		Budget: n.memory, MaxConnections: limits.callers, MaxConnectionBytes: limits.connectionBytes,
+		MaxPipelined:   cmp.Or(o.Settings.PipelinedRequests, defaultPipelined),
 		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ReadTimeout: requestReadTimeout, IdleTimeout: callerIdleTimeout,
 		WriteTimeout: callerWriteTimeout, Closed: n.handleClosedCaller}
 	n.transport = &link.Transport{Clock: n.clock, Log: n.log, Handler: n, Incarnation: random, MaxAccepted: limits.nodes,
@@ -424,6 +425,8 @@
 	n.transport.SetPersistentPeers(peers)
 	n.log.Info("config-in-force", "version", cfg.Version(), "routes", len(cfg.Routes()), "source", source)
 	n.metrics.Set("config-version", int64(cfg.Version()))
+	// Nodes that the store doesn't answer learn of the version at once, hop by hop.
+	n.transport.Broadcast(encode(gossipMessage{ConfigVersion: cfg.Version()}))
 }
 
 // Wait blocks until the node has failed or was stopped.
