--- a/mesh/node.go
+++ b/mesh/node.go
@@ -425,7 +425,7 @@
 	n.transport.SetPersistentPeers(peers)
 	n.log.Info("config-in-force", "version", cfg.Version(), "routes", len(cfg.Routes()), "source", source)
 	n.metrics.Set("config-version", int64(cfg.Version()))
-	// Nodes that the store doesn't answer learn of the version at once, hop by hop.
+	// Nodes that the store doesn't answer learn from this that there is a newer version, and pull it.
 	n.transport.Broadcast(encode(gossipMessage{ConfigVersion: cfg.Version()}))
 }
 
