Leave room for others beside requests that wait for a slow one

Cause: what is sent ahead behind a slow request holds its room until that one is answered.

Change: a request that waits for earlier ones of its connection takes room up to three quarters; beyond them it waits for its turn.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -53,6 +53,8 @@
 	// reading and writing are since when a request is being received, and at most 64 KB of an answer written, and idle since when
 	// neither a request is received nor one unanswered. They are values of Server.mark, or 0.
 	reading, writing, idle atomic.Int64
+	// blocked is since when the first unanswered request has been unanswered while later ones are, as Server.mark, or 0.
+	blocked atomic.Int64
 	// receiving is the memory reserved for the body that is being read.
 	receiving atomic.Int64
 	// served is set once a request was read.
@@ -181,16 +183,27 @@
 	return true
 }
 
-// take takes room for what is read next, and reports ErrNoMemory if there is none in time.
+// take takes room for what is read next. Without room for what is read ahead, it waits until all earlier requests are answered, and
+// reports ErrNoMemory if there is none in time then. It allows the whole time to read what is left after a wait.
 func (k *conn) take(size int64) error {
+	k.mu.Lock()
+	last := k.last
+	k.mu.Unlock()
+	ahead := last != nil && !isClosed(last.sent)
+	if ahead && k.held.TryTakeAhead(size) || !ahead && k.held.TryTake(size) {
+		return nil
+	}
 	reading := k.reading.Swap(0) // The caller is not at fault for this wait.
+	if ahead {
+		<-last.sent
+	}
 	if !k.takeWithin(roomTimeout, size) {
 		return ErrNoMemory
 	}
 	if reading > 0 {
 		k.reading.Store(k.s.mark())
 	}
-	return nil
+	return k.c.SetReadDeadline(time.Now().Add(k.s.ReadTimeout))
 }
 
 // takeWithin takes room, and waits for it until the caller leaves. It reports false if there is none in time.
@@ -203,6 +216,16 @@
 	return k.held.Take(ctx, size)
 }
 
+// isClosed reports whether a channel is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // countAnswer counts what is held for the answer to a request instead of what was held for the request.
 func (k *conn) countAnswer(x *Exchange) {
 	held := exchangeBytes + headBytes(x)
@@ -382,6 +405,9 @@
 		x.previousSent = k.last.sent
 	}
 	k.last = x
+	if k.unanswered == 1 {
+		k.blocked.Store(k.s.mark())
+	}
 	k.unanswered++
 	k.s.unanswered.Add(1)
 	return true
@@ -411,7 +437,12 @@
 	k.held.Add(-x.heldAnswer)
 	k.mu.Lock()
 	k.unanswered--
-	if k.unanswered == 0 && !k.busy {
+	switch {
+	case k.unanswered > 1:
+		k.blocked.Store(k.s.mark())
+	case k.unanswered == 1:
+		k.blocked.Store(0)
+	case !k.busy:
 		k.idle.Store(k.s.mark())
 	}
 	k.s.unanswered.Add(-1)
--- a/intake/server.go
+++ b/intake/server.go
@@ -100,8 +100,26 @@
 func (x *Exchange) HoldAnswer(r *memory.Reservation) { x.answer = r }
 
 // TakeAnswer takes room for a small answer of about size bytes, and waits for it until the caller leaves. It reports false if there
-// is none. A handler calls it before it runs a request.
+// is none. While room is short, it waits for the answers to the earlier requests of the connection first, since this one would be
+// held for as long as they take. A handler calls it before it runs a request.
 func (x *Exchange) TakeAnswer(wait time.Duration, size int64) bool {
+	ahead := x.previousSent != nil && !isClosed(x.previousSent)
+	if ahead && x.conn.held.TryTakeAhead(size) {
+		x.heldAnswer += size
+		return true
+	}
+	if ahead {
+		began := time.Now()
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-x.previousSent:
+		case <-x.Gone:
+		case <-timer.C:
+			return false
+		}
+		wait -= time.Since(began)
+	}
 	if !x.conn.takeWithin(wait, size) {
 		return false
 	}
--- a/intake/sweep.go
+++ b/intake/sweep.go
@@ -47,6 +47,8 @@
 	peerConnections int
 	// idle is how long the connection is idle, and stalled how long its caller takes for what it sends or reads.
 	idle, stalled time.Duration
+	// blocked is for how long the answers to later requests have waited for the first one.
+	blocked time.Duration
 	// slowBody is how long the caller takes for a large body beyond the time that minBodyRate allows.
 	slowBody time.Duration
 }
@@ -56,7 +58,8 @@
 	conns := s.open()
 	list := make([]progress, 0, len(conns))
 	for _, k := range conns {
-		p := progress{k: k, idle: s.since(k.idle.Load()), stalled: max(s.since(k.reading.Load()), s.since(k.writing.Load()))}
+		p := progress{k: k, idle: s.since(k.idle.Load()), stalled: max(s.since(k.reading.Load()), s.since(k.writing.Load())),
+			blocked: s.since(k.blocked.Load())}
 		if size := k.receiving.Load(); size > 0 {
 			p.slowBody = s.since(k.reading.Load()) - stallTimeout - time.Duration(size)*time.Second/minBodyRate
 		}
@@ -68,21 +71,24 @@
 }
 
 // Sweep closes the connections of callers that read too slowly and, while room for messages is short, those without progress: first
-// those of the peer for which most is held, and of each peer those that hold most. While large bodies wait for
-// room, it closes the connection with the slowest one. It is called each SweepInterval.
+// those of the peer for which most is held, and of each peer those that hold most. If there is none and a request waits for room, it
+// closes the connection that holds most for answers that wait for a slow one. While large bodies wait for room, it closes the
+// connection with the slowest one. It is called each SweepInterval.
 func (s *Server) Sweep() {
-	excess, bodiesWait := s.Budget.Excess(), s.Budget.IsShort(memory.Requests)
+	excess, roomShort, bodiesWait := s.Budget.Excess(), s.Budget.IsShort(memory.Connections), s.Budget.IsShort(memory.Requests)
 	if s.sweeps.Add(1)%quietSweeps != 0 && excess == 0 && !bodiesWait {
 		return
 	}
 	var stalled []progress
-	var slowest progress
+	var slowest, blocked progress
 	for _, p := range s.progressOf() {
 		switch {
 		case s.WriteTimeout > 0 && s.since(p.k.writing.Load()) > s.WriteTimeout:
 			p.k.end(SlowReader, p.held)
 		case excess > 0 && p.held > 0 && p.stalled >= stallTimeout:
 			stalled = append(stalled, p)
+		case roomShort && p.blocked >= stallTimeout && p.held > max(blocked.held, memory.FreeBytes):
+			blocked = p
 		case p.slowBody > slowest.slowBody:
 			slowest = p
 		}
@@ -90,6 +96,9 @@
 	if bodiesWait && slowest.slowBody > 0 {
 		slowest.k.end(NoProgress, slowest.k.receiving.Load())
 	}
+	if len(stalled) == 0 && blocked.held > 0 {
+		blocked.k.end(NoProgress, blocked.held)
+	}
 	slices.SortFunc(stalled, func(a, b progress) int {
 		return cmp.Or(cmp.Compare(b.peerHeld, a.peerHeld), cmp.Compare(b.held, a.held))
 	})
--- a/intake/sweep_test.go
+++ b/intake/sweep_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,9 @@
 	"lovagelane/memory"
 )
 
+// stallWait is how long a request waits for room in these tests.
+const stallWait = 200 * time.Millisecond
+
 // startAccounted starts a server with a budget of which connections may take 300 KB. It returns why connections were closed.
 func startAccounted(t *testing.T, handler func(x *intake.Exchange)) (f *fixture, closed func() []intake.CloseReason) {
 	var mu sync.Mutex
@@ -105,3 +109,82 @@
 	require.Equal(t, fasthttp.StatusOK, resp.StatusCode())
 	require.Subset(t, []intake.CloseReason{intake.NoProgress}, closed())
 }
+
+// Guards against requests sent ahead behind a slow one that fill the room for as long as it takes, so that the request of another
+// caller finds none.
+func TestRequestsBehindASlowOneLeaveRoomForOthers(t *testing.T) {
+	const crowd = 10
+	large := strings.Repeat("x", 60<<10)
+	for name, tc := range map[string]struct {
+		ahead string
+		// foreseen is set if the size of the answers is known before.
+		foreseen bool
+	}{
+		"foreseen answers":   {ahead: request("GET", "/large"), foreseen: true},
+		"unforeseen answers": {ahead: request("GET", "/large")},
+		"bodies":             {ahead: request("PUT", "/body", "Content-Length: 22000") + large[:22000]},
+		"heads":              {ahead: request("GET", "/head", "Long: "+large[:14<<10])},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var arrived atomic.Int64
+			gate, end := make(chan struct{}), make(chan struct{})
+			f, _ := startAccounted(t, func(x *intake.Exchange) {
+				switch path := string(x.Request.Header.RequestURI()); path {
+				case "/slow":
+					arrived.Add(1)
+					awaitEither(x.Gone, end)
+				case "/body":
+					awaitEither(x.Gone, end)
+				case "/large":
+					arrived.Add(1)
+					<-gate // Until all have been read, of which a busy machine may run none before.
+					if tc.foreseen && !x.TakeAnswer(stallWait, int64(len(large))) {
+						x.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
+						return
+					}
+					x.Response.SetBodyString(large)
+				case "/next":
+					if !x.TakeAnswer(stallWait, int64(len(large))) {
+						x.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
+					}
+				}
+			})
+			f.MaxConnections = 2 * crowd
+			defer close(end)
+			conns := make([]net.Conn, crowd)
+			for i := range conns {
+				conns[i] = dial(t, f)
+				defer conns[i].Close()
+				_, err := io.WriteString(conns[i], request("GET", "/slow")+tc.ahead[:1])
+				require.NoError(t, err)
+			}
+			require.Eventually(t, func() bool { return arrived.Load() == crowd }, waitTimeout, time.Millisecond)
+			time.Sleep(stallWait) // All begin to read what was sent ahead before it takes room.
+			for _, c := range conns {
+				_, err := io.WriteString(c, tc.ahead[1:])
+				require.NoError(t, err)
+			}
+			want := int64(crowd)
+			if strings.Contains(tc.ahead, "/large") {
+				want = 2 * crowd
+			}
+			require.Eventually(t, func() bool { return arrived.Load() == want }, waitTimeout, time.Millisecond)
+			close(gate)
+			time.Sleep(stallWait) // What was sent ahead takes its room.
+			require.Eventually(t, func() bool {
+				c := dial(t, f)
+				defer c.Close()
+				_, _ = io.WriteString(c, request("GET", "/next")) // It may be refused.
+				var resp fasthttp.Response
+				return resp.Read(bufio.NewReader(c)) == nil && resp.StatusCode() == fasthttp.StatusOK
+			}, waitTimeout, 50*time.Millisecond)
+		})
+	}
+}
+
+func awaitEither(a, b <-chan struct{}) {
+	select {
+	case <-a:
+	case <-b:
+	}
+}
--- a/memory/holding.go
+++ b/memory/holding.go
@@ -3,8 +3,8 @@
 import "context"
 
 const (
-	// readAheadShare is the share of the room of Connections up to which connections that hold something are read ahead, and
-	// peerShare that up to which those of one address are.
+	// readAheadShare is the share of the room of Connections up to which connections that hold something are read ahead, and up to which
+	// requests that wait for earlier ones take room. peerShare is that up to which connections of one address are read ahead.
 	readAheadShare = 0.75
 	peerShare      = 0.5
 	// freedShare is the share of that room that Excess leaves in use.
@@ -67,6 +67,21 @@
 	}
 	h.b.mu.Lock()
 	defer h.b.mu.Unlock()
+	return h.tryTakeLocked(size)
+}
+
+// TryTakeAhead is TryTake for a request whose answer waits for those to earlier ones of its connection. It leaves the last part of the
+// room to requests that wait for nothing but their own run.
+func (h *Holding) TryTakeAhead(size int64) bool {
+	if h == nil {
+		return true
+	}
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	return float64(h.b.used[Connections]+size) <= readAheadShare*float64(h.b.ceiling(Connections)) && h.tryTakeLocked(size)
+}
+
+func (h *Holding) tryTakeLocked(size int64) bool {
 	if h.closed || !h.b.fitsLocked(Connections, size) || h.b.connectionsWaitLocked() {
 		return false
 	}
--- a/memory/holding_test.go
+++ b/memory/holding_test.go
@@ -27,7 +27,7 @@
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			address := rapid.SampledFrom(addresses).Draw(t, "address")
 			size := rapid.Int64Range(1, 2*mb).Draw(t, "size")
-			step := rapid.IntRange(0, 5).Draw(t, "step")
+			step := rapid.IntRange(0, 6).Draw(t, "step")
 			if step == 0 || len(open) == 0 {
 				open = append(open, &connection{Holding: b.OpenHolding(address, mb), address: address})
 				continue
@@ -55,6 +55,11 @@
 				if r, ok := b.Reserve(ended(), memory.Requests, 0, size); ok {
 					r.Release()
 				}
+			case 6:
+				if c.TryTakeAhead(size) {
+					c.size += size
+					require.LessOrEqual(t, b.Used(memory.Connections), int64(0.3*0.75*16*mb), "what is sent ahead leaves no room")
+				}
 			}
 			sum, byAddress, connections := int64(0), map[string]int64{}, map[string]int{}
 			for _, c := range open {
