Read large answers of the backend server with little garbage

Cause: the buffer of a body doubled while it grew, which left three times a body of 8 MB as garbage for each answer, beside what is reserved.

Change: once memory is reserved, a body of known length is read into one buffer, and one of unknown length into parts that are used again.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -33,8 +33,9 @@
 	// answerCopies is how often the body of an answer to another node is held at most: as read, in the message to that node, and until
 	// it confirms it.
 	answerCopies = 3
-	// growthCopies is how often a body is held while the buffer that it is read into grows.
-	growthCopies = 2
+	// readCopies is how often a body counts while it is read: its parts are joined in the end, or the memory of the body before it is
+	// not collected yet.
+	readCopies = 2
 	// maxStrayAnswers is the number of answers to other requests that are skipped during one exchange.
 	maxStrayAnswers = 2
 	// crashCheckDelay is the delay between a lost connection and the check whether the backend server has crashed.
@@ -265,7 +266,8 @@
 }
 
 // readBody reads the body of an answer and returns it with the memory reserved for it. It waits for that memory at most until the
-// deadline of the job. The buffer follows what has arrived, not the length that the answer states.
+// deadline of the job. Before that is reserved, the buffer follows what has arrived, not the length that the answer states. A large
+// body leaves little garbage, which takes memory beside what is reserved.
 func (b *backend) readBody(j *job, resp *fasthttp.Response) (body []byte, reserved *memory.Reservation, err error) {
 	stream, length := resp.BodyStream(), resp.Header.ContentLength()
 	kept, largest := int64(1), maxBodyBytes
@@ -288,11 +290,20 @@
 	for {
 		if len(body) == cap(body) {
 			size := min(2*cap(body), largest+1)
-			if size > memory.FreeBytes && reserved == nil {
+			if size > memory.FreeBytes {
 				// In one step: answers that wait for more while they hold a part would wait for each other.
-				if reserved, err = b.reserve(max(kept, growthCopies)*int64(largest+1), j.deadline.Add(answerMargin)); err != nil {
+				if reserved, err = b.reserve(max(kept, readCopies)*int64(largest+1), j.deadline.Add(answerMargin)); err != nil {
 					return nil, nil, err
 				}
+				if length < 0 {
+					if body, err = readParts(body, stream); err != nil {
+						return nil, reserved, err
+					}
+					resp.Header.SetContentLength(len(body))
+					reserved.Shrink(kept * int64(len(body)))
+					return body, reserved, resp.CloseBodyStream()
+				}
+				size = largest + 1
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
@@ -311,6 +322,39 @@
 	}
 }
 
+// bodyParts are buffers for parts of bodies of unknown length.
+var bodyParts = sync.Pool{New: func() any { return new([memory.FreeBytes]byte) }}
+
+// readParts reads a body of unknown length, of which start has been read, to its end.
+func readParts(start []byte, stream io.Reader) ([]byte, error) {
+	parts, size, free := []*[memory.FreeBytes]byte{}, len(start), []byte{}
+	defer func() {
+		for _, p := range parts {
+			bodyParts.Put(p)
+		}
+	}()
+	for {
+		if len(free) == 0 {
+			p := bodyParts.Get().(*[memory.FreeBytes]byte)
+			parts, free = append(parts, p), p[:]
+		}
+		count, err := stream.Read(free)
+		size, free = size+count, free[count:]
+		switch {
+		case size > maxBodyBytes:
+			return nil, errAnswerTooLarge
+		case errors.Is(err, io.EOF):
+			body := append(make([]byte, 0, size), start...)
+			for _, p := range parts {
+				body = append(body, p[:min(len(p), size-len(body))]...)
+			}
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // reserve reserves memory for the body of an answer.
 func (b *backend) reserve(size int64, deadline time.Time) (*memory.Reservation, error) {
 	ctx, cancel := context.WithDeadline(b.n.group.Context(), deadline)
