Refuse tokens right after the start of an owner without failing

Cause: the window of a quota counts its slots by the steady clock of the process. Within a window and 0.6 s of its start the first slots are before zero, and usage.wait indexed with their negative remainder: the owner panicked when it refused the first token of an account with a window (quota-window set) whose tokens of that window were used up. The panic ended the node's group of goroutines, with the mutex of the quotas locked: no connection to other nodes and no feed of the store any more, while callers were still answered by the old configuration. Change: a slot before zero has its place in the ring; the mutex is unlocked when a decision panics. Result: TestOwnerRefusesRightAfterItsStart; the stand-in network of the tests gives each process a clock that starts at zero, as real ones have (it began at one hour), and TestNodesKeepTheAllowanceTogether finds the panic without the change (index out of range [-6]).

--- a/allowance/fakes_test.go
+++ b/allowance/fakes_test.go
@@ -55,6 +55,8 @@
 	stopsClock             bool
 	wallStep               time.Duration
 	starts                 uint64
+	// startedAt is when the process started, and its steady clock with it.
+	startedAt time.Duration
 }
 
 func newNetwork(seed uint64, members int, limits map[string]allowance.Limit) *network {
@@ -76,7 +78,7 @@
 func (n *network) start(i int) {
 	m := n.members[i]
 	m.starts++
-	m.up, m.pausedUntil = true, 0
+	m.up, m.pausedUntil, m.startedAt, m.suspended = true, 0, n.now, 0
 	m.Member = &allowance.Member{Address: m.name, Incarnation: uint64(i+1)<<32 + m.starts, Started: n.reading(i), Rejoined: m.starts > 1}
 	n.inform(i)
 }
@@ -102,7 +104,7 @@
 
 func (n *network) reading(i int) allowance.Reading {
 	m := n.members[i]
-	return allowance.Reading{Steady: n.now - m.suspended, Wall: n.now + m.wallStep}
+	return allowance.Reading{Steady: n.now - m.startedAt - m.suspended, Wall: n.now + m.wallStep}
 }
 
 func (n *network) runs(i int) bool { return n.members[i].up && n.now >= n.members[i].pausedUntil }
--- a/allowance/limit.go
+++ b/allowance/limit.go
@@ -57,6 +57,12 @@
 
 func slotAt(now time.Duration) int64 { return int64(now / slotLength) }
 
+// at returns the count of a slot, which may be one before the start of the steady clock.
+func (u *usage) at(slot int64) *float32 {
+	count := int64(len(u.slots))
+	return &u.slots[(slot%count+count)%count]
+}
+
 // advance discards the slots that have left the window.
 func (u *usage) advance(now time.Duration, l Limit) {
 	count := int64(min((l.Window+slotDelay)/slotLength+1, maxSlots))
@@ -66,8 +72,8 @@
 	slot := slotAt(now)
 	for u.last = max(u.last, slot-count); u.last < slot; {
 		u.last++
-		u.sum -= float64(u.slots[u.last%count])
-		u.slots[u.last%count] = 0
+		u.sum -= float64(*u.at(u.last))
+		*u.at(u.last) = 0
 	}
 }
 
@@ -77,7 +83,7 @@
 	if count == 0 || slot <= u.last-count || slot > u.last {
 		return
 	}
-	u.slots[slot%count] += float32(tokens)
+	*u.at(slot) += float32(tokens)
 	u.sum += tokens
 }
 
@@ -88,7 +94,7 @@
 		if sum+1 <= limit {
 			return max(time.Duration(slot-1+count)*slotLength-now, 0)
 		}
-		sum -= float64(u.slots[slot%count])
+		sum -= float64(*u.at(slot))
 	}
 	return time.Duration(count) * slotLength
 }
--- a/allowance/member_test.go
+++ b/allowance/member_test.go
@@ -226,6 +226,20 @@
 	require.Greater(t, n.granted, 180)
 }
 
+// Guards against an owner that fails when it refuses a request within a window of its start: the clock of its process then shows less
+// than a window. All nodes have restarted, and an account sends more than its limit.
+// Mutation: usage.at takes the remainder of the slot.
+func TestOwnerRefusesRightAfterItsStart(t *testing.T) {
+	n := newNetwork(1, 3, map[string]allowance.Limit{"k": allowance.Limit{Rate: 10, Burst: 10}.Tolerant(window, 0.1, 20)})
+	n.advance(2*time.Second, nil)
+	n.advance(3*time.Second, func() {
+		for i := range n.members {
+			n.request(i, "k", false)
+		}
+	})
+	require.Positive(t, n.refused)
+}
+
 // Guards against a limit that leaves unused what it may use: under steady demand beyond it, nine tenths of the bound of a window are
 // used, and a pause gives the whole burst at once.
 // Mutation: Tolerant leaves the rate.
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -133,11 +133,13 @@
 
 // withQuotas calls f and sends the messages that result.
 func (n *Node) withQuotas(f func(m *allowance.Member, now allowance.Reading)) {
-	n.quotas.mu.Lock()
-	f(&n.quotas.member, n.reading())
-	messages := n.quotas.member.Outbox()
-	n.quotas.mu.Unlock()
-	for _, e := range messages {
+	collect := func() []allowance.Envelope {
+		n.quotas.mu.Lock()
+		defer n.quotas.mu.Unlock()
+		f(&n.quotas.member, n.reading())
+		return n.quotas.member.Outbox()
+	}
+	for _, e := range collect() {
 		n.transport.Notify(e.To, encode(gossipMessage{Allowance: &e.Message}))
 	}
 }
