End a mesh node when one of its goroutines fails

Cause: a failed goroutine cancels the group: connections to other nodes, the feeds of the store and the ticks end.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"expvar"
 	"net"
 	"sync"
@@ -429,8 +430,17 @@
 	n.transport.Broadcast(encode(gossipMessage{ConfigVersion: cfg.Version()}))
 }
 
-// Wait blocks until the node has failed or was stopped.
-func (n *Node) Wait() error { return n.group.Wait() }
+// Wait blocks until the node has failed or was stopped. A node of which a goroutine has failed is aborted: it would still take
+// requests, without connections to other nodes and without news of the configuration.
+func (n *Node) Wait() error {
+	<-n.group.Context().Done()
+	if err := context.Cause(n.group.Context()); !errors.Is(err, context.Canceled) && !n.stopping.Load() {
+		n.log.Error("node-failed", "error", err)
+		n.Abort()
+		return Err.Wrap(err)
+	}
+	return n.group.Wait()
+}
 
 // NodeCount returns the number of nodes in the directory, including this one.
 func (n *Node) NodeCount() int {
