Return to the first owner of a quota under steady demand

Cause: a node probes the owners that go before its own one only when it has asked nobody for 0.3 s. Requests ask all the time, so that a node with steady demand stayed with the owner that it found during a cut, and each of the owners had a part of the allowance: accounts were refused within their quota, or got 503 in place of 429 since no owner had most parts. In addition an owner that was silent twice was not asked for 4 s, then 8 s. Change: probes have a timer of their own, and a node that is avoided for more than 2 s is probed once a second. Probes lend nothing, so that the proof of the bound stays as it is. Result: TestBusyNodesReturnToTheFirstOwner and TestNodesAgreeOnAnOwnerSoonAfterACut, both red without the change.

--- a/allowance/member.go
+++ b/allowance/member.go
@@ -23,6 +23,8 @@
 	// minAvoidTime and maxAvoidTime bound how long a silent owner is not asked again.
 	minAvoidTime = 2 * time.Second
 	maxAvoidTime = 8 * time.Second
+	// avoidedProbeInterval is the period at which a node that is avoided for longer than minAvoidTime is probed.
+	avoidedProbeInterval = time.Second
 	// startDelay is how long a started node doesn't lend its part, so that the other nodes learn of it first. rejoinDelay is that of a
 	// node that the others know: what its former process lent has to come back.
 	startDelay  = 2 * time.Second
@@ -107,6 +109,8 @@
 	until time.Duration
 	// span is how long it is avoided.
 	span time.Duration
+	// probedAt is when it was last probed.
+	probedAt time.Duration
 }
 
 // keyState is what a node holds of one key.
@@ -154,9 +158,10 @@
 	lentIncarnation uint64
 	lentUntil       time.Duration
 	period          int
-	renewedAt       time.Duration
-	asks            map[uint64]sentAsk
-	returns         map[returnKey]int
+	// renewedAt is when the owner was last asked, and probedAt when the nodes before it were probed.
+	renewedAt, probedAt time.Duration
+	asks                map[uint64]sentAsk
+	returns             map[returnKey]int
 	// heard is when a node of the order last answered while another one is the owner.
 	heard   string
 	heardAt time.Duration
@@ -661,6 +666,10 @@
 		m.avoidSilent(now, s)
 		if now.Steady-s.renewedAt >= renewInterval {
 			m.ask(now, s, "")
+		}
+		// Requests ask the owner all the time; the nodes before it are probed all the same.
+		if now.Steady-s.probedAt >= renewInterval {
+			s.probedAt = now.Steady
 			m.probe(now, s)
 		}
 	}
@@ -693,21 +702,31 @@
 	}
 }
 
-// probe asks the first node of the order whether it answers while another one holds the part.
+// probe asks the first node of the order whether it answers while another one holds the part. Nodes that are avoided for long are
+// asked less often, so that nodes that were cut off from each other soon agree on an owner again.
 func (m *Member) probe(now Reading, s *groupState) {
 	for _, node := range s.order {
 		if node == s.owner {
 			return
 		}
 		if m.mayOwn(now, node) {
-			number := m.nextAsk()
-			s.asks[number] = sentAsk{to: node, at: now}
-			m.send(now, node, Message{Ask: &Ask{Node: m.Address, Group: s.group, Number: number}})
+			m.sendProbe(now, s, node)
 			return
 		}
+		if a, ok := m.avoided[node]; ok && now.Steady >= max(a.until-a.span+minAvoidTime, a.probedAt+avoidedProbeInterval) {
+			a.probedAt = now.Steady
+			m.avoided[node] = a
+			m.sendProbe(now, s, node)
+		}
 	}
 }
 
+func (m *Member) sendProbe(now Reading, s *groupState, node string) {
+	number := m.nextAsk()
+	s.asks[number] = sentAsk{to: node, at: now}
+	m.send(now, node, Message{Ask: &Ask{Node: m.Address, Group: s.group, Number: number}})
+}
+
 // Release gives all parts back that were lent to this node, which grants nothing any more, and tells their nodes. It is called when
 // the process is about to end.
 func (m *Member) Release(now Reading) {
--- a/allowance/member_test.go
+++ b/allowance/member_test.go
@@ -226,6 +226,50 @@
 	require.Greater(t, n.granted, 180)
 }
 
+// Guards against busy nodes that stay with the owner that they found while the first one was silent: each owner then has a part of
+// the allowance, and requests within it are refused.
+// Mutation: Tick probes only when no request has asked for renewInterval.
+func TestBusyNodesReturnToTheFirstOwner(t *testing.T) {
+	n := newNetwork(3, 10, map[string]allowance.Limit{"k": {Rate: 500, Burst: 250}})
+	next := 0
+	demand := func() { // 40 a second at each node.
+		for range 2 {
+			n.request(next%len(n.members), "k", false)
+			next++
+		}
+	}
+	n.advance(4*time.Second, demand)
+	owner := n.owner()
+	n.pause(owner, 3*time.Second, false)
+	n.advance(9*time.Second, demand)
+	n.refused, n.unknown = 0, 0
+	n.advance(10*time.Second, demand)
+	require.Equal(t, []int{0, 0}, []int{n.refused, n.unknown})
+	for i, m := range n.members {
+		require.NotContains(t, m.Owners(), m.name)
+		require.True(t, i == owner || len(m.Owners()) == 1 && m.Owners()[0] == n.members[owner].name, "%s asks %v", m.name, m.Owners())
+	}
+}
+
+// Guards against nodes that were all cut off from each other, and avoid each other for many seconds afterwards: an account beyond its
+// limit is told 429 again 4 s after the end of the cut.
+// Mutation: probe passes over nodes that are avoided.
+func TestNodesAgreeOnAnOwnerSoonAfterACut(t *testing.T) {
+	for cut := 10 * time.Second; cut < 14*time.Second; cut += 500 * time.Millisecond {
+		n := newNetwork(3, 3, map[string]allowance.Limit{"k": {Rate: 10, Burst: 15}})
+		demand := func() { n.request(n.rand.IntN(len(n.members)), "k", false) }
+		n.advance(4*time.Second, nil)
+		n.side = []int{0, 1, 2}
+		n.advance(cut, demand)
+		n.side = []int{0, 0, 0}
+		n.advance(4*time.Second, demand)
+		n.refused, n.unknown = 0, 0
+		n.advance(2*time.Second, demand)
+		require.Zero(t, n.unknown, "cut of %v", cut)
+		require.Positive(t, n.refused, "cut of %v", cut)
+	}
+}
+
 // Guards against an owner that fails when it refuses a request within a window of its start: the clock of its process then shows less
 // than a window. All nodes have started, and an account of which a part is below one token sends to all of them.
 // Mutation: usage.at takes the remainder of the slot.
