Log when a node learns of a newer configuration and pulls it

config-behind and config-pulled tell a node that no other node tells of a configuration from one whose pull gets no answer.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -87,8 +87,14 @@
 	pull := n.configLag.exceeds(grace, now, ours.ConfigVersion, theirs.ConfigVersion)
 	pull = n.directoryLag.exceeds(grace, now, ours.DirectoryVersion, theirs.DirectoryVersion) || pull
 	n.mu.Unlock()
+	if learned {
+		n.log.Info("config-behind", "version", ours.ConfigVersion, "other", theirs.ConfigVersion)
+	}
 	switch {
 	case pull:
+		if ours.ConfigVersion < theirs.ConfigVersion {
+			n.log.Info("config-pulled", "version", ours.ConfigVersion, "other", theirs.ConfigVersion)
+		}
 		reply(encode(gossipMessage{PullSince: &ours}))
 	case learned:
 		n.group.Go("pull-config", func(ctx context.Context) error {
