Keep the slots of backend servers that reject at random

The lower limit is now a trial: it stays only if fewer calls are rejected than before by more than chance. It is taken from the concurrency at the rejections, not from the mean of the window, which also counts the time after them.

--- a/capacity/learner.go
+++ b/capacity/learner.go
@@ -25,10 +25,6 @@
 	// overdueRatio is the mean age of the runs in flight relative to the usual one from which on it shows that the backend server
 	// has become slow.
 	overdueRatio = 2
-	// rejectedShare is the share of rejected runs above which the limit falls below the concurrency that led to them.
-	rejectedShare = 0.05
-	// rejectionBackoff is the limit after rejections, relative to the concurrency that led to them.
-	rejectionBackoff = 0.9
 )
 
 // Outcome is the result of a run: Completed, Wasted or Rejected.
@@ -57,7 +53,9 @@
 	updated   time.Time
 	running   int
 	waiting   int
-	routes    *kernel.LRU[string, route]
+	// ended is the number of runs that ended since the last Update.
+	ended  int
+	routes *kernel.LRU[string, route]
 	// age is the sum of the ages of the runs in flight, and usualAge the moving average of their mean, in seconds.
 	age, usualAge float64
 	// observed is the time in which runs were in flight, in seconds.
@@ -133,8 +131,9 @@
 	}
 	if now.After(l.window.start) {
 		l.window.add(min(elapsed, now.Sub(l.window.start).Seconds()), l.running, l.waiting, l.Limit())
+		l.window.started += max(0, running-l.running+l.ended)
 	}
-	l.updated, l.running, l.waiting = now, running, waiting
+	l.updated, l.running, l.waiting, l.ended = now, running, waiting, 0
 	if now.Before(l.coldUntil) {
 		l.search.trial = nil
 		l.window = window{start: now}
@@ -149,15 +148,14 @@
 func (l *Learner) Finish(now time.Time, ran time.Duration, o Outcome) {
 	l.age -= ran.Seconds()
 	counts := !now.Before(l.window.start) && !now.Before(l.coldUntil)
-	if counts {
-		l.window.ended++
-	}
+	l.ended++
 	switch o := o.(type) {
 	case Completed:
 		l.recordRun(now, o.Route, max(ran.Seconds(), 1e-4), counts)
 	case Rejected:
 		if counts {
 			l.window.rejected++
+			l.window.rejectedAt += l.running
 		}
 	case Wasted:
 	}
--- a/capacity/load_test.go
+++ b/capacity/load_test.go
@@ -41,6 +41,8 @@
 	elsewhere func(t time.Duration) time.Duration
 	cold      time.Duration
 	lasts     time.Duration
+	// rejected is the share of the calls that a backend server with n running ones rejects; nil means none.
+	rejected func(n int) float64
 }
 
 // call is a call at the model of a backend server. Its answer is ready when left is at most 0 and until has passed.
@@ -50,12 +52,14 @@
 	arrived, started, until time.Duration
 	left                    float64
 	route                   string
+	reached, rejected       bool
 }
 
 // server is the model of a backend server and of the node beside it.
 type server struct {
 	queue   slots.Queue
 	learner capacity.Learner
+	random  *rand.Rand
 	running []*call
 	calls   map[uint64]*call
 }
@@ -83,6 +87,10 @@
 func (s *server) advance(t time.Duration, l load, speed func(time.Duration, int) float64) []*call {
 	working := 0
 	for _, c := range s.running {
+		if !c.reached && l.rejected != nil {
+			c.rejected = s.random.Float64() < l.rejected(len(s.running))
+		}
+		c.reached = true
 		if c.left > 0 {
 			working++
 		}
@@ -90,6 +98,10 @@
 	progress := speed(t, max(working, 1)) * step.Seconds()
 	var ended []*call
 	s.running = slices.DeleteFunc(s.running, func(c *call) bool {
+		if c.rejected {
+			ended = append(ended, c)
+			return true
+		}
 		if c.left > 0 {
 			if c.left -= progress; c.left <= 0 && c.route == "nested" {
 				c.until = t + l.elsewhere(t)
@@ -102,6 +114,11 @@
 		return true
 	})
 	for _, c := range ended {
+		if c.rejected {
+			s.learner.Finish(at(t), t-c.started, capacity.Rejected{})
+			s.apply(t, s.queue.Cancel(c.id))
+			continue
+		}
 		s.learner.Finish(at(t), t-c.started, capacity.Completed{Route: c.route})
 		s.apply(t, s.queue.Finish(c.id, t-c.started))
 	}
@@ -129,7 +146,7 @@
 	servers := make([]*server, len(l.speeds))
 	var candidates []dispatch.Candidate
 	for i := range servers {
-		s := &server{calls: map[uint64]*call{}}
+		s := &server{calls: map[uint64]*call{}, random: rand.New(rand.NewPCG(seed, uint64(2+i)))}
 		s.learner.SetSlots(at(0), serverSlots)
 		s.learner.SetCold(at(l.cold))
 		s.queue.SetLimit(serverSlots)
@@ -181,6 +198,10 @@
 		}
 		for i, s := range servers {
 			for _, c := range s.advance(t, l, l.speeds[i]) {
+				if c.rejected {
+					tell(t, i, c)
+					continue
+				}
 				if c.arrived >= settling {
 					took = append(took, t-c.arrived)
 					if t-c.arrived <= aim {
@@ -328,6 +349,31 @@
 	require.GreaterOrEqual(t, learned.good, 1-tolerated)
 }
 
+// Guards against fewer slots for a backend server that rejects a share of its calls at any concurrency: callers need its slots for
+// the other calls.
+func TestRandomRejectionsKeepTheSlots(t *testing.T) {
+	for _, share := range []float64{0.1, 0.46} {
+		l := load{perSecond: 780, speeds: repeat(1, constant(1)), rejected: func(int) float64 { return share }}
+		learned, all, _ := compare(t, l)
+		require.GreaterOrEqual(t, learned.good, all.good-tolerated)
+		running := (1 - share) * l.perSecond * meanWork.Seconds()
+		require.GreaterOrEqual(t, float64(learned.lowest), 0.75*running, "a trial takes no more than a part of the slots in use")
+	}
+}
+
+// Guards against a limit that stays where a backend server rejects calls: it takes 50 calls at once and rejects further ones,
+// which could wait in the queue.
+func TestRejectionsBeyondHalfOfTheSlots(t *testing.T) {
+	learned, all, best := compare(t, load{perSecond: 340, speeds: repeat(1, constant(1)), rejected: func(n int) float64 {
+		if n > 50 {
+			return 1
+		}
+		return 0
+	}})
+	require.GreaterOrEqual(t, learned.good, best.good-tolerated)
+	require.Greater(t, learned.good, all.good)
+}
+
 // Guards against taking chance for a trend where nearly all slots are in use, and short delays of all runs for overload.
 func TestNoise(t *testing.T) {
 	pauses := func(t time.Duration, _ int) float64 {
--- a/capacity/search.go
+++ b/capacity/search.go
@@ -61,8 +61,10 @@
 	// which the limit was reached, and waited the part of full in which calls waited.
 	seconds, area, full, waited float64
 	// work is the sum over the completed runs of their routes' run time relative to the mean one.
-	work                       float64
-	completed, ended, rejected int
+	work                         float64
+	completed, started, rejected int
+	// rejectedAt is the sum over the rejected runs of the runs in flight.
+	rejectedAt int
 }
 
 func (w *window) add(seconds float64, running, waiting, limit int) {
@@ -108,6 +110,7 @@
 	// one starts anew after a window that wasn't full, so that a surge after a calm doesn't begin with a trial.
 	nextGrowth, nextShrink   time.Time
 	growthPause, shrinkPause time.Duration
+	rejections               rejections
 }
 
 // trial compares two limits in windows that alternate between them: low, high, high, low, and so on, so that a steady change
@@ -156,9 +159,7 @@
 func (l *Learner) judge(now time.Time, w window) {
 	s := &l.search
 	ratio, known := l.takeRunTimes(w.isFull())
-	if w.rejected >= 2 && float64(w.rejected) > rejectedShare*float64(w.ended) {
-		s.trial = nil
-		l.lower(now, int(rejectionBackoff*w.concurrency()), int(w.concurrency()))
+	if l.judgeRejections(now, w) {
 		return
 	}
 	if s.trial != nil {
