Add a setting that follows reported run times without a limit

follow-run-times = yes has a node report the run times of its backend server and choose by those of others, and hold no calls back.

--- a/mesh/capacity.go
+++ b/mesh/capacity.go
@@ -29,9 +29,12 @@
 	coldUntil time.Time
 }
 
+// learnsRunTimes reports whether the node reports the run times of its backend server and follows those of others.
+func (n *Node) learnsRunTimes() bool { return n.settings.LearnCapacity || n.settings.FollowRunTimes }
+
 // learnedLimitLocked returns the limit of the backend server, which may have at most the given number of calls.
 func (n *Node) learnedLimitLocked(limit int) int {
-	if !n.settings.LearnCapacity {
+	if !n.learnsRunTimes() {
 		return limit
 	}
 	c := &n.capacity
@@ -40,12 +43,15 @@
 		c.learner.SetCold(c.coldUntil)
 	}
 	c.learner.SetSlots(n.clock.Now(), limit)
+	if !n.settings.LearnCapacity {
+		return limit
+	}
 	return c.learner.Limit()
 }
 
 // recordColdStartLocked records how long the backend server stays slow after its start.
 func (n *Node) recordColdStartLocked(a Announcement) {
-	if current, _ := n.tracker.Current(); n.settings.LearnCapacity && current == a.Backend && !a.Deregistered {
+	if current, _ := n.tracker.Current(); n.learnsRunTimes() && current == a.Backend && !a.Deregistered {
 		n.capacity.coldUntil = n.clock.Now().Add(a.ColdRemaining)
 		n.capacity.learner.SetCold(n.capacity.coldUntil)
 	}
@@ -53,7 +59,7 @@
 
 // observeLoadLocked passes the state of the queue to the learner.
 func (n *Node) observeLoadLocked(now time.Time) {
-	if n.settings.LearnCapacity {
+	if n.learnsRunTimes() {
 		l := n.queue.Load()
 		n.capacity.learner.Update(now, l.Running, l.Waiting)
 	}
@@ -61,7 +67,7 @@
 
 // recordCapacityLocked passes the end of a run to the learner.
 func (n *Node) recordCapacityLocked(now time.Time, j *job, x exchangeResult, ran time.Duration) {
-	if !n.settings.LearnCapacity {
+	if !n.learnsRunTimes() {
 		return
 	}
 	var o capacity.Outcome = capacity.Wasted{}
@@ -78,7 +84,7 @@
 
 // expectedRunTimeLocked returns how long a call of a route runs at the own backend server, or 0 if that isn't learned.
 func (n *Node) expectedRunTimeLocked(route string) time.Duration {
-	if !n.settings.LearnCapacity {
+	if !n.learnsRunTimes() {
 		return 0
 	}
 	return n.capacity.learner.ExpectedRunTime(route)
@@ -86,19 +92,22 @@
 
 // tickCapacity puts the learned limit in force.
 func (n *Node) tickCapacity() {
-	if !n.settings.LearnCapacity {
+	if !n.learnsRunTimes() {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	c := &n.capacity
 	n.observeLoadLocked(n.clock.Now())
+	settled, meanRun := c.learner.SettledLimit(), c.learner.MeanRunTime()
+	n.metrics.Set("mean-run-ms", meanRun.Milliseconds())
+	if !n.settings.LearnCapacity {
+		return
+	}
 	if c.learner.Limit() != n.queue.Limit() {
 		n.updateLimitLocked()
 	}
-	settled, meanRun := c.learner.SettledLimit(), c.learner.MeanRunTime()
 	n.metrics.Set("learned-limit", int64(settled))
-	n.metrics.Set("mean-run-ms", meanRun.Milliseconds())
 	if math.Abs(float64(settled-c.logged)) >= minLoggedChange*float64(c.logged) {
 		n.log.Info("learned-limit-changed", "limit", settled, "before", c.logged, "slots", n.slots, "mean-run", meanRun)
 		c.logged = settled
@@ -116,7 +125,7 @@
 }
 
 func (n *Node) newOverdueTimer(now time.Time, r *request, choice dispatch.Choice) *overdueTimer {
-	if !n.settings.LearnCapacity {
+	if !n.learnsRunTimes() {
 		return &overdueTimer{}
 	}
 	o := &overdueTimer{n: n, address: choice.Address, started: now.Add(choice.MaxWait), next: overdueFactor * choice.Typical}
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -33,7 +33,7 @@
 		Required: []string{"deployment", "service", "availability-zone", "region", "backend-server", "callers-listen", "ready-listen",
 			"announce-listen", "calls-listen", "store"},
 		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window",
-			"pipelined-requests", "whole-chains", "give-way", "compare-failures", "learn-capacity",
+			"pipelined-requests", "whole-chains", "give-way", "compare-failures", "learn-capacity", "follow-run-times",
 			"quota-window", "quota-over", "quota-slack", "max-descriptors", "caller-connections", "connection-kb"},
 	},
 }
@@ -84,6 +84,9 @@
 	// LearnCapacity makes the node limit the calls on its backend server to what that one works best at, and choose among backend
 	// servers by the run times that their nodes report.
 	LearnCapacity bool
+	// FollowRunTimes makes the node choose among backend servers by the run times that their nodes report, without a limit on the
+	// calls on its own one.
+	FollowRunTimes bool
 	// QuotaWindow, QuotaOver and QuotaSlack define by how much accounts may exceed their quotas: within QuotaWindow by a fraction
 	// QuotaOver and by QuotaSlack requests more. Without QuotaWindow they may not exceed them.
 	QuotaWindow time.Duration
@@ -170,6 +173,7 @@
 		GiveWay:           r.Bool(s, "give-way"),
 		CompareFailures:   r.Bool(s, "compare-failures"),
 		LearnCapacity:     r.Bool(s, "learn-capacity"),
+		FollowRunTimes:    r.Bool(s, "follow-run-times"),
 		QuotaWindow:       r.Duration(s, "quota-window", maxQuotaWindow),
 		QuotaOver:         r.ratio(s, "quota-over"),
 		QuotaSlack:        r.Int(s, "quota-slack", 0, maxQuotaSlack),
--- a/settings/mesh_test.go
+++ b/settings/mesh_test.go
@@ -30,6 +30,7 @@
 give-way = yes
 compare-failures = yes
 learn-capacity = yes
+follow-run-times = yes
 quota-window = 5s
 quota-over = 0.1
 quota-slack = 20
@@ -46,7 +47,7 @@
 		BackendServer: "10.1.0.8:8301", CallersListen: "10.1.0.8:8304", ReadyListen: "10.1.0.8:8302", AnnounceListen: "10.1.0.8:8306",
 		CallsListen: "10.1.0.8:8300", CallsAddress: "10.1.0.8:8300", Store: "10.200.1.7:8309", MemoryMB: 284, Grace: 6 * time.Second,
 		RepeatRatio: 0.2, RepeatsAllowed: 50, RepeatWindow: 10 * time.Second, WholeChains: true, GiveWay: true, CompareFailures: true,
-		LearnCapacity: true, QuotaWindow: 5 * time.Second, QuotaOver: 0.1, QuotaSlack: 20,
+		LearnCapacity: true, FollowRunTimes: true, QuotaWindow: 5 * time.Second, QuotaOver: 0.1, QuotaSlack: 20,
 		MaxDescriptors: 4100, CallerConnections: 900, ConnectionKB: 512}, m)
 }
 
