Measure unlike backend servers on real processes

The stand-in backend server learns a knee, a share of its slots beyond which more running calls do less work. bin/bench capacity plays four backend servers with speeds 0.5 to 1.5, one with a knee at 60%, with the learned limit of the admission, fixed slots and round robin in the same run.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -32,6 +32,7 @@
 	{name: "swing", description: "service at the crest of a 10x swing", run: runSwing},
 	{name: "stragglers", description: "short calls among stragglers", run: runStragglers},
 	{name: "slowed", description: "tail latency with one backend server in six slowed", run: runSlowed},
+	{name: "capacity", description: "backend servers of unlike speeds, one of which slows down beyond 60% of its slots", run: runCapacity},
 	{name: "control", description: "control cost of a node", run: runControl},
 	{name: "events", description: "control cost of changes and failures", run: runEvents, optIn: true},
 	{name: "calls", description: "processor time of a call on the calling and the serving node", run: runCalls, optIn: true},
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -69,8 +69,11 @@
 // BackendFaults is the request body of POST /standin/faults on a backend server. A fault whose field is absent keeps its
 // setting.
 type BackendFaults struct {
-	// SlowFactor multiplies the service time.
+	// SlowFactor multiplies the service time. One below 1 makes the server faster.
 	SlowFactor *float64 `json:"slow-factor,omitempty"`
+	// Knee is the share of the slots beyond which the service time grows with the square of the running calls, so that more of
+	// them do less work. 0 removes it.
+	Knee *float64 `json:"knee,omitempty"`
 	// StallMS blocks all requests for that time, health checks and load reports included.
 	StallMS *int64 `json:"stall-ms,omitempty"`
 	// Drain refuses new calls with 503 and lets the calls in flight finish.
@@ -120,6 +123,7 @@
 	activeCalls    map[string][]*activeCall
 	samples        []loadSample
 	slowFactor     float64
+	knee           float64
 	stallUntil     time.Time
 	drain          bool
 	unhealthy      bool
@@ -190,6 +194,9 @@
 	if f.SlowFactor != nil {
 		b.slowFactor = *f.SlowFactor
 	}
+	if f.Knee != nil {
+		b.knee = *f.Knee
+	}
 	if f.StallMS != nil {
 		b.stallUntil = b.clock.Now().Add(time.Duration(*f.StallMS) * time.Millisecond)
 	}
@@ -254,6 +261,10 @@
 	}
 	b.mu.Lock()
 	factor *= b.slowFactor
+	if best := b.knee * float64(b.opt.Slots); best > 0 {
+		excess := max(1, float64(len(b.slots))/best)
+		factor *= excess * excess
+	}
 	b.mu.Unlock()
 	return time.Duration(factor * float64(b.opt.ServiceTime)), straggler
 }
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -183,6 +183,20 @@
 }
 
 // Guards against a poisoned request that does not crash the backend server.
+// Guards against a load pattern without its cause: beyond the knee, more running calls have to do less work, and up to it as much as
+// before.
+func TestBackendServerSlowsDownBeyondItsKnee(t *testing.T) {
+	b := NewBackendServer(BackendOptions{Slots: 10, ServiceTime: 100 * time.Millisecond, Fixed: true}, kernel.SystemClock{})
+	factor, knee := 0.5, 0.6
+	b.SetFaults(BackendFaults{SlowFactor: &factor, Knee: &knee})
+	for running := 1; running <= 10; running++ {
+		b.slots <- struct{}{}
+		d, _ := b.drawServiceTime()
+		excess := max(1, float64(running)/6)
+		require.InDelta(t, 50*excess*excess, float64(d.Milliseconds()), 1, "%d running", running)
+	}
+}
+
 func TestBackendServerCrash(t *testing.T) {
 	var status atomic.Int64
 	_, url := startBackend(t, BackendOptions{Slots: 2, Crash: func(s int) { status.Store(int64(s)) }})
