--- a/mesh/capacity.go
+++ b/mesh/capacity.go
@@ -108,12 +108,17 @@
 		n.updateLimitLocked()
 	}
 	n.metrics.Set("learned-limit", int64(settled))
-	if math.Abs(float64(settled-c.logged)) >= minLoggedChange*float64(c.logged) {
+	if c.isLoggedChange(settled) {
 		n.log.Info("learned-limit-changed", "limit", settled, "before", c.logged, "slots", n.slots, "mean-run", meanRun)
 		c.logged = settled
 	}
 }
 
+// isLoggedChange reports whether a limit differs enough from the last one logged. A node without a backend server has none.
+func (c *learnedCapacity) isLoggedChange(limit int) bool {
+	return limit != c.logged && math.Abs(float64(limit-c.logged)) >= minLoggedChange*float64(c.logged)
+}
+
 // overdueTimer fires when a call has run for several times its typical run time. The zero value never fires.
 type overdueTimer struct {
 	n       *Node
--- a/mesh/capacity_test.go
+++ b/mesh/capacity_test.go
@@ -37,3 +37,10 @@
 		require.Equal(t, s.LearnCapacity, n.learnedLimitLocked(100) < 100)
 	}
 }
+
+// Guards against a log line at each tick of a node whose backend server hasn't announced itself.
+func TestOnlyChangesOfTheLimitAreLogged(t *testing.T) {
+	require.False(t, (&learnedCapacity{}).isLoggedChange(0))
+	require.False(t, (&learnedCapacity{logged: 100}).isLoggedChange(90))
+	require.True(t, (&learnedCapacity{logged: 100}).isLoggedChange(75))
+}
