Keep calls in their region when a report shows a fast backend server elsewhere

Reported run times may rest on a few short runs, and moved all of 300 calls to another region in the test. A report now slows a backend server of another region down or ends that, and only answers show that one to be fast.

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lovagelane/balance"
 	"lovagelane/dispatch"
 	"lovagelane/kernel"
 	"lovagelane/slots"
@@ -78,3 +79,29 @@
 	}
 	require.Zero(t, shareOf(t, c, start, "a"))
 }
+
+// Guards against calls that leave their region for a backend server whose report rests on a few short runs, while a slow one of the
+// own region gets less than the fast ones beside it.
+func TestSlowOneAmongFastOnesMovesNoCallsToOtherRegions(t *testing.T) {
+	c := &dispatch.Chooser{}
+	away := balance.Place{Region: "away", AvailabilityZone: "away-1"}
+	c.Update(home, []dispatch.Candidate{{Address: "a", Service: "maps", Place: home, Slots: 10},
+		{Address: "b", Service: "maps", Place: home, Slots: 10}, {Address: "c", Service: "maps", Place: home, Slots: 10},
+		{Address: "d", Service: "maps", Place: away, Slots: 10}})
+	c.RecordOutcome(start, "a", dispatch.Answered{Route: "read", RunTime: 800 * time.Millisecond})
+	random, sent := kernel.NewRand(1), map[string]int{}
+	runTimes := map[string]time.Duration{"a": 2400, "b": 800, "c": 800, "d": 200}
+	for i := range 300 {
+		now := start.Add(time.Duration(i) * 5 * time.Millisecond)
+		for _, address := range []string{"a", "b", "c", "d"} {
+			c.RecordLoad(now, address, slots.Load{Limit: 10})
+			c.RecordRunTime(now, address, "read", runTimes[address]*time.Millisecond)
+		}
+		address := chooseWith(t, c, now, query, random).Address
+		sent[address]++
+		c.RecordOutcome(now, address, dispatch.Answered{Route: "read", RunTime: runTimes[address] * time.Millisecond})
+	}
+	require.Zero(t, sent["d"])
+	require.Less(t, sent["a"], 10)
+	require.Greater(t, min(sent["b"], sent["c"]), 50)
+}
--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -519,7 +519,12 @@
 	}
 	observed := d.Seconds() / typical.reported
 	typical.reported *= min(1+medianStep, max(1-medianStep, observed))
-	if change := observed / p.runTimeRatio(now); change < minReportedChange && change > 1/minReportedChange {
+	ratio := p.runTimeRatio(now)
+	if p.candidate.Place.Region != c.home.Region {
+		// A report may rest on a few short runs. Only answers show that another region is worth the way.
+		observed = max(observed, min(1, ratio))
+	}
+	if change := observed / ratio; change < minReportedChange && change > 1/minReportedChange {
 		return
 	}
 	p.updateRatio(now, observed, reportSmoothing)
