--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,9 @@
 # Tests whose callers open many connections, which run after all others.
 CROWDS := lovagelane/platform/callers
 
+# The test that starts the most processes, which runs by itself.
+SOAK := ^TestSoak$$
+
 # The kinds of machine that nodes run on.
 ARCHITECTURES := amd64 arm64
 
@@ -33,7 +36,8 @@
 
 test:
 	@cat KNOWN-RED.txt
-	$(GO) test -timeout 280s -skip '$(KNOWN_RED)' $$($(GO) list ./... | grep -v '^$(CROWDS)$$')
+	$(GO) test -timeout 280s -skip '$(KNOWN_RED)|$(SOAK)' $$($(GO) list ./... | grep -v '^$(CROWDS)$$')
+	$(GO) test -timeout 280s -skip '$(KNOWN_RED)' -run '$(SOAK)' lovagelane/platform
 	$(GO) test -timeout 280s -skip '$(KNOWN_RED)' $(CROWDS)
 
 demo: build
