--- a/memory/holding_test.go
+++ b/memory/holding_test.go
@@ -58,7 +58,7 @@
 			case 6:
 				if c.TryTakeAhead(size) {
 					c.size += size
-					require.LessOrEqual(t, b.Used(memory.Connections), int64(0.3*0.75*16*mb), "what is sent ahead leaves no room")
+					require.LessOrEqual(t, b.Used(memory.Connections), int64(16*mb)*9/40, "what is sent ahead leaves no room")
 				}
 			}
 			sum, byAddress, connections := int64(0), map[string]int64{}, map[string]int{}
