Tell requests to come back when parts are lent again after a start

Cause: after a restart of all nodes no part is lent for 1 to 2 s, and a small account's part yields no token at most nodes meanwhile. Its requests were told to come back 0.5 s later, still before the parts were lent, and were refused again. Change: Retry-After of such a refusal ends when the parts can have been lent, spread in the order of the refusals.

--- a/allowance/member.go
+++ b/allowance/member.go
@@ -31,10 +31,10 @@
 	rejoinDelay = time.Second
 	// startShare bounds the whole tokens that all nodes have at their start, where their parts are below one, as a share of Limit.Most.
 	startShare = 1 - toleranceUsed
-	// maxHold is how long requests of a key are refused without asking, and unknownRetryAfter when a request may come back that
-	// was refused because no owner answered.
-	maxHold           = 250 * time.Millisecond
-	unknownRetryAfter = 500 * time.Millisecond
+	// maxHold is how long requests of a key are refused without asking, and minUnknownRetryAfter the least time after which a request
+	// may come back that was refused because no owner answered.
+	maxHold              = 250 * time.Millisecond
+	minUnknownRetryAfter = 500 * time.Millisecond
 	// spareTime is the time for which a busy node asks for tokens in advance.
 	spareTime = 250 * time.Millisecond
 	// demandWindow is the time constant of the mean rate of requests of a key.
@@ -282,7 +282,7 @@
 		return
 	}
 	if m.waiting >= maxWaiters || s == nil || m.ownerOf(now, s) == "" {
-		decide(Unknown{unknownRetryAfter})
+		decide(Unknown{m.unknownRetryAfter(now)})
 		return
 	}
 	k.waiters = append(k.waiters, waiter{decide, now.Steady + maxTakeWait})
@@ -404,6 +404,17 @@
 	return startDelay
 }
 
+// unknownRetryAfter returns when a request may come back that got no token. After a start of all nodes no owner has a part until their
+// nodes lend it. The requests come back in the order in which they were refused, not all at once.
+func (m *Member) unknownRetryAfter(now Reading) time.Duration {
+	elapsed := now.Steady - m.Started.Steady
+	lent := m.lendDelay() + handoverDelay + renewInterval
+	if elapsed >= lent {
+		return minUnknownRetryAfter
+	}
+	return max(minUnknownRetryAfter, lent-elapsed+elapsed/4)
+}
+
 // takeStart takes a token of what the node's part has yielded since its start, while the part is not lent yet. After a restart of all
 // nodes there is no owner to ask. Parts below one token begin at a fraction that differs from node to node.
 func (m *Member) takeStart(now Reading, key string, k *keyState, l Limit) bool {
@@ -681,7 +692,7 @@
 func (m *Member) tickKey(now Reading, key string, k *keyState) {
 	m.expireTokens(now, k)
 	for len(k.waiters) > 0 && now.Steady >= k.waiters[0].until {
-		m.decide(k, Unknown{unknownRetryAfter})
+		m.decide(k, Unknown{m.unknownRetryAfter(now)})
 	}
 	if s := m.groups[k.group]; s != nil && len(k.waiters) > k.asked {
 		m.ask(now, s, key)
--- a/allowance/member_test.go
+++ b/allowance/member_test.go
@@ -351,6 +351,52 @@
 	require.Zero(t, n.refused+n.unknown)
 }
 
+// Guards against requests that are told to come back while no part is lent yet after a restart of all nodes, and are refused again. An
+// account of which a part is below one token sends half of its limit, spread over all nodes; callers come back once.
+// Mutation: unknownRetryAfter returns minUnknownRetryAfter.
+func TestRequestsReturnOncePartsAreLentAgain(t *testing.T) {
+	lost, told := 0, 0
+	for seed := range uint64(10) {
+		n := newNetwork(seed, 86, map[string]allowance.Limit{"k": allowance.Limit{Rate: 14, Burst: 14}.Tolerant(window, 0.1, 20)})
+		n.advance(5*time.Second, nil)
+		for i := range n.members {
+			n.members[i].up = false
+		}
+		n.advance(500*time.Millisecond, nil)
+		for i := range n.members {
+			n.start(i)
+		}
+		returns := map[time.Duration][]int{}
+		take := func(i int, again bool) {
+			n.members[i].Take(n.reading(i), "k", func(o allowance.Outcome) {
+				switch o := o.(type) {
+				case allowance.Unknown:
+					if again {
+						lost++
+						return
+					}
+					told++
+					at := n.now + o.RetryAfter.Truncate(step) + step
+					returns[at] = append(returns[at], i)
+				case allowance.Refused:
+					lost++
+				}
+			})
+			n.flush(i)
+		}
+		n.advance(5*time.Second, func() {
+			if n.now%(28*step) == 0 {
+				take(n.rand.IntN(len(n.members)), false)
+			}
+			for _, i := range returns[n.now] {
+				take(i, true)
+			}
+		})
+	}
+	require.Positive(t, told)
+	require.Zero(t, lost, "of %d", told)
+}
+
 // Guards against messages that name no group, key or node and crash a node or lend it something.
 // Mutation: Ask.valid returns true.
 func TestForgedMessagesAreIgnored(t *testing.T) {
