Spend a retry budget that runs short where a repeat saves most

Cause: a node's part of a service's retry budget was spent first come, first served, between requests of any rank and whatever they had cost.

Change: with repeats-by-value (off by default), retry.WindowBudgets.WithdrawFor takes what the repeat saves and keeps budget back for kinds of requests that save more, for as long as their demand is worth it. For calls of the own backend server, chain.Completes learns from counts how likely a success belongs to a run that ends well. The allowance itself is checked as before. New: the log event repeat-denied, the metric repeats-kept-back.

--- a/chain/ends.go
+++ b/chain/ends.go
@@ -66,10 +66,27 @@
 		return 0
 	}
 	r.age(now)
-	if r.good+r.bad < minRuns {
+	return r.report()
+}
+
+func (e *ends) report() Report {
+	if e.good+e.bad < minRuns {
 		return 0
 	}
-	return Report(math.Round(100*r.bad/(r.good+r.bad))) + 1
+	return Report(math.Round(100*e.bad/(e.good+e.bad))) + 1
+}
+
+// Worst returns the report on the route whose runs end badly most often.
+func (e *Ends) Worst(now time.Time) Report {
+	var worst Report
+	if e.routes != nil {
+		e.routes.Retain(func(_ string, r *ends) bool {
+			r.age(now)
+			worst = max(worst, r.report())
+			return true
+		})
+	}
+	return worst
 }
 
 // age lowers the weight of the runs recorded so far.
--- a/chain/gate.go
+++ b/chain/gate.go
@@ -165,6 +165,12 @@
 	return c != nil && c.outside
 }
 
+// Nested reports whether a class is known to be called by backend servers only.
+func (g *Gate) Nested(k Class) bool {
+	c := g.find(k)
+	return c != nil && !c.outside
+}
+
 func (g *Gate) find(k Class) *class {
 	if g.classes == nil {
 		return nil
--- a/chain/reports_test.go
+++ b/chain/reports_test.go
@@ -1,6 +1,7 @@
 package chain_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -101,3 +102,52 @@
 		require.Equal(t, chain.Started{}, admit(&g, now, other, random))
 	}
 }
+
+// Guards against an estimate of what a successful call is worth that is wrong for runs of one call, of many, or with failures of
+// other causes. Mutation: the share of runs that end well in its place.
+func TestCompletesIsTheShareOfCallsOfGoodRuns(t *testing.T) {
+	random := kernel.NewRand(1)
+	for _, calls := range []int{1, 2, 4, 8} {
+		for _, reject := range []float64{0.02, 0.3, 0.45, 0.6} {
+			succeeded, ofGoodRuns, bad, badRuns, made := 0, 0, 0, 0, 0
+			const runs = 20000
+			for range runs {
+				good := 0
+				for good < calls && random.Float64() >= reject {
+					good++
+				}
+				succeeded, made = succeeded+good, made+min(good+1, calls)
+				if good == calls {
+					ofGoodRuns += calls
+				} else {
+					bad, badRuns = bad+1, badRuns+1
+				}
+			}
+			want := float64(ofGoodRuns) / float64(succeeded)
+			got := chain.Completes(reportOf(bad, made), reportOf(badRuns, runs))
+			require.InDelta(t, want, got, 0.08, "%d calls, %.2f rejected", calls, reject)
+		}
+	}
+	require.InDelta(t, 1, chain.Completes(0, chain.MaxReport), 0, "no calls known")
+	require.InDelta(t, 1, chain.Completes(reportOf(1, 2), 0), 0, "no runs known")
+	require.InDelta(t, 1, chain.Completes(reportOf(1, 2), reportOf(1, 4)), 0, "runs that do without the call")
+	require.InDelta(t, 0, chain.Completes(chain.MaxReport, chain.MaxReport), 0, "nothing ends well")
+}
+
+func reportOf(bad, all int) chain.Report {
+	return chain.Report(math.Round(100*float64(bad)/float64(all))) + 1
+}
+
+// Guards against calls that are judged by a route that makes none. Mutation: Worst returns the last route.
+func TestWorstRouteCounts(t *testing.T) {
+	var ends chain.Ends
+	require.Zero(t, ends.Worst(start))
+	for range 8 {
+		ends.Record(start, "reissue", false)
+		ends.Record(start, "log", true)
+		ends.Record(start, "page", false)
+	}
+	ends.Record(start, "rare", true)
+	require.Equal(t, chain.MaxReport, ends.Worst(start))
+	require.Zero(t, ends.Worst(start.Add(time.Minute)), "no recent runs")
+}
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -119,6 +119,7 @@
 		r.callerGone, r.takeAnswer = x.Gone, x.TakeAnswer
 		if res = n.takeQuota(r); res == nil {
 			res = n.forward(r)
+			n.recordCallEnd(r, res)
 			n.returnQuota(r, res)
 			n.holdDelivery(x, r, res)
 		}
--- a/mesh/chains.go
+++ b/mesh/chains.go
@@ -7,12 +7,16 @@
 
 	"lovagelane/chain"
 	"lovagelane/kernel"
+	"lovagelane/retry"
 )
 
 // chains holds the state that decides which requests are started when most of them fail further down. Node.mu guards it. It is
 // nil if the settings leave it off.
 type chains struct {
-	ends    chain.Ends
+	ends chain.Ends
+	// calls holds how the requests that entered at this node ended, of which those of nested routes are calls of the own backend
+	// server.
+	calls   chain.Ends
 	callers chain.Callers
 	gate    chain.Gate
 	// nodes holds the number of nodes in the directory by service.
@@ -66,6 +70,37 @@
 	return nodes
 }
 
+// recordCallEnd records how a request that entered at this node ended.
+func (n *Node) recordCallEnd(r *request, res result) {
+	if !n.settings.RepeatsByValue || n.chains == nil {
+		return
+	}
+	bad := true
+	switch res := res.(type) {
+	case servedResult:
+		bad = res.answer.Status >= fasthttp.StatusInternalServerError
+	case failedResult:
+		if res.reason == reasonCallerLeft {
+			return
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.chains.calls.Record(n.clock.Now(), r.route.Name, bad)
+}
+
+// savingLocked returns what a repeat of a request is expected to save.
+func (n *Node) savingLocked(now time.Time, r *request) retry.Saving {
+	s := retry.Saving{Kind: r.route.Name, Rank: r.rank, Completes: 1,
+		Late: r.deadline.Sub(now) < n.chooser.TypicalRunTime(r.route.Name)}
+	if r.account.Name == "" && n.chains.gate.Nested(r.class()) {
+		// The account of the request that the call belongs to isn't known, so that the rank of the route alone counts.
+		s.Rank, s.Spent = r.route.Rank, true
+		s.Completes = chain.Completes(n.chains.calls.Report(now, r.route.Name), n.chains.ends.Worst(now))
+	}
+	return s
+}
+
 func (r *request) class() chain.Class { return chain.Class{Route: r.route.Name, Rank: r.rank} }
 
 // admitRequest returns a refusal if the request is not to be started because most requests of its class end badly.
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -9,6 +9,7 @@
 	"lovagelane/dispatch"
 	"lovagelane/link"
 	"lovagelane/memory"
+	"lovagelane/retry"
 )
 
 const (
@@ -23,6 +24,8 @@
 	// account.
 	noRoomReason = "no-room"
 	shareReason  = "share"
+	// reasonCallerLeft is the reason of a request whose caller disconnected.
+	reasonCallerLeft = "caller-left"
 )
 
 // forward sends a request to one node after another until a backend server has run it or no other node may be tried.
@@ -170,13 +173,29 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	ok := n.retryBudgets.Withdraw(now, r.service, 1, len(n.directory.Nodes()))
-	if ok {
+	nodes := len(n.directory.Nodes())
+	if !n.settings.RepeatsByValue || n.chains == nil {
+		ok := n.retryBudgets.Withdraw(now, r.service, 1, nodes)
+		if ok {
+			n.metrics.Add("repeats", 1, r.service)
+		} else {
+			n.metrics.Add("repeats-denied", 1, r.service)
+		}
+		return ok
+	}
+	saving := n.savingLocked(now, r)
+	decision := n.retryBudgets.WithdrawFor(now, r.service, 1, nodes, saving)
+	if decision == retry.Allowed {
 		n.metrics.Add("repeats", 1, r.service)
-	} else {
-		n.metrics.Add("repeats-denied", 1, r.service)
+		return true
+	}
+	n.metrics.Add("repeats-denied", 1, r.service)
+	if decision == retry.KeptBack {
+		n.metrics.Add("repeats-kept-back", 1, r.service)
 	}
-	return ok
+	n.log.Info("repeat-denied", "request", r.id, "route", r.route.Name, "service", r.service, "why", decision.String(),
+		"rank", saving.Rank, "completes", saving.Completes, "spent", saving.Spent, "left", r.deadline.Sub(now))
+	return false
 }
 
 // reportOutcome passes the load and the outcome of an attempt to the chooser, and the part of its time that was spent on the way.
@@ -267,7 +286,7 @@
 			overdue.record(r)
 		case <-r.callerGone:
 			p.Cancel()
-			return answerMessage{}, failedResult{reason: "caller-left"}
+			return answerMessage{}, failedResult{reason: reasonCallerLeft}
 		case <-timer.C:
 			p.Cancel()
 			return answerMessage{}, failedResult{reason: "timeout", timeout: true}
@@ -300,7 +319,7 @@
 		return a, nil
 	case <-callerGone:
 		j.abandon()
-		return answerMessage{}, failedResult{reason: "caller-left"}
+		return answerMessage{}, failedResult{reason: reasonCallerLeft}
 	case <-timeout:
 		j.abandon()
 		return answerMessage{}, failedResult{reason: "timeout", timeout: true}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -158,7 +158,7 @@
 		return nil, Err.Wrap(err)
 	}
 	n.log.SetRate(maxRequestLinesPerSecond, "request-refused", "request-failed", "request-failed-at-backend-server",
-		"request-not-routed", "call-not-answered", "caller-too-slow", "caller-closed")
+		"request-not-routed", "call-not-answered", "repeat-denied", "caller-too-slow", "caller-closed")
 	n.group.Go("ticks", n.runTicks)
 	n.group.Go("sync-config", n.syncConfig)
 	n.group.Go("sync-directory", n.syncDirectory)
--- a/retry/window.go
+++ b/retry/window.go
@@ -43,8 +43,25 @@
 	bucket      int
 	requests    [windowBuckets + 1]float64
 	repeats     [windowBuckets + 1]float64
+	// demand is empty unless repeats are taken by what they save.
+	demand demand
 }
 
+// Decision is the result of WithdrawFor.
+type Decision int
+
+const (
+	// Allowed means that the repeat may be sent, and is counted.
+	Allowed Decision = iota
+	// Exhausted means that the budget allows no repeat.
+	Exhausted
+	// KeptBack means that what is left of the budget is needed for repeats that save more.
+	KeptBack
+)
+
+// String returns the name that logs show.
+func (d Decision) String() string { return [...]string{"allowed", "exhausted", "kept-back"}[d] }
+
 // CountRequest counts a request for a service.
 func (w *WindowBudgets) CountRequest(now time.Time, service string) {
 	if s := w.advance(now, service); s != nil {
@@ -80,16 +97,54 @@
 // causes at the service, and nodes is the number of nodes that share the fixed allowance.
 func (w *WindowBudgets) Withdraw(now time.Time, service string, cost float64, nodes int) bool {
 	s := w.advance(now, service)
-	if s == nil {
+	if s == nil || w.left(s, nodes) < cost {
 		return false
 	}
+	s.repeats[s.bucket] += cost
+	return true
+}
+
+// WithdrawFor is Withdraw for a repeat that is known to save something. As long as repeats that save more are expected to use up the
+// budget before it comes back, the repeat is not allowed.
+func (w *WindowBudgets) WithdrawFor(now time.Time, service string, cost float64, nodes int, saving Saving) Decision {
+	s := w.advance(now, service)
+	if s == nil {
+		return Exhausted
+	}
+	s.demand.add(now, s.bucket, saving, cost)
+	left := w.left(s, nodes) - cost
+	if left < 0 {
+		return Exhausted
+	}
+	if s.lowest(now, left, s.demand.before(now, saving), w.Length) < 0 {
+		return KeptBack
+	}
+	s.repeats[s.bucket] += cost
+	return Allowed
+}
+
+// left returns what is left of the budget of a service.
+func (w *WindowBudgets) left(s *window, nodes int) float64 {
 	requests, repeats := s.sums(windowBuckets)
 	repeats += s.repeats[s.oldest()]
-	if repeats+cost > usableShare*(w.Ratio*requests+w.Fixed/float64(max(nodes, 1))) {
-		return false
+	return usableShare*(w.Ratio*requests+w.Fixed/float64(max(nodes, 1))) - repeats
+}
+
+// lowest returns the lowest that is left of a budget within one window if the expected repeats are taken and the number of requests
+// stays as it is. The repeats of a bucket come back when it expires.
+func (s *window) lowest(now time.Time, left float64, takes []expected, length time.Duration) float64 {
+	bucketLength := length / windowBuckets
+	low, from := left, time.Duration(0)
+	to := s.bucketStart.Add(bucketLength).Sub(now)
+	for i := 0; from < length; i++ {
+		for _, e := range takes {
+			left -= e.perSecond * max(min(e.lasts, to)-from, 0).Seconds()
+		}
+		low = min(low, left)
+		left += s.repeats[(s.oldest()+i)%len(s.repeats)]
+		from, to = to, to+bucketLength
 	}
-	s.repeats[s.bucket] += cost
-	return true
+	return low
 }
 
 // advance returns the window of a service after it discards the expired buckets.
@@ -115,6 +170,7 @@
 	for range min(elapsedBuckets, len(s.requests)) {
 		s.bucket = (s.bucket + 1) % len(s.requests)
 		s.requests[s.bucket], s.repeats[s.bucket] = 0, 0
+		s.demand.clearBucket(s.bucket)
 	}
 	s.bucketStart = s.bucketStart.Add(time.Duration(elapsedBuckets) * bucketLength)
 }
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -33,7 +33,7 @@
 		Required: []string{"deployment", "service", "availability-zone", "region", "backend-server", "callers-listen", "ready-listen",
 			"announce-listen", "calls-listen", "store"},
 		Optional: []string{"calls-address", "admin-listen", "memory-mb", "grace", "repeat-ratio", "repeats-allowed", "repeat-window",
-			"pipelined-requests", "whole-chains", "give-way", "compare-failures", "learn-capacity",
+			"pipelined-requests", "whole-chains", "give-way", "repeats-by-value", "compare-failures", "learn-capacity",
 			"quota-window", "quota-over", "quota-slack", "max-descriptors", "caller-connections", "connection-kb"},
 	},
 }
@@ -79,6 +79,8 @@
 	// GiveWay limits the requests that are started of a kind that mostly fails while a more important kind mostly fails as well. It
 	// needs WholeChains.
 	GiveWay bool
+	// RepeatsByValue has a retry budget that runs short spent where a repeat saves most. It needs WholeChains.
+	RepeatsByValue bool
 	// CompareFailures has a backend server of another region count as failing at least as often as its region does on average.
 	CompareFailures bool
 	// LearnCapacity makes the node limit the calls on its backend server to what that one works best at, and choose among backend
@@ -168,6 +170,7 @@
 		PipelinedRequests: r.Int(s, "pipelined-requests", 1, maxPipelined),
 		WholeChains:       r.Bool(s, "whole-chains"),
 		GiveWay:           r.Bool(s, "give-way"),
+		RepeatsByValue:    r.Bool(s, "repeats-by-value"),
 		CompareFailures:   r.Bool(s, "compare-failures"),
 		LearnCapacity:     r.Bool(s, "learn-capacity"),
 		QuotaWindow:       r.Duration(s, "quota-window", maxQuotaWindow),
@@ -177,8 +180,10 @@
 		CallerConnections: r.Int(s, "caller-connections", 1, maxConnections),
 		ConnectionKB:      r.Int(s, "connection-kb", minConnectionKB, maxConnectionKB),
 	}
-	if v, ok := s.Value("give-way"); ok && m.GiveWay && !m.WholeChains {
-		r.Add(v.Line, "give-way needs the reports of whole-chains", "add whole-chains = yes")
+	for key, on := range map[string]bool{"give-way": m.GiveWay, "repeats-by-value": m.RepeatsByValue} {
+		if v, ok := s.Value(key); ok && on && !m.WholeChains {
+			r.Add(v.Line, key+" needs the reports of whole-chains", "add whole-chains = yes")
+		}
 	}
 	if m.CallsAddress == "" {
 		m.CallsAddress = m.CallsListen
--- a/settings/mesh_test.go
+++ b/settings/mesh_test.go
@@ -28,6 +28,7 @@
 repeat-window = 10s
 whole-chains = yes
 give-way = yes
+repeats-by-value = yes
 compare-failures = yes
 learn-capacity = yes
 quota-window = 5s
@@ -45,7 +46,7 @@
 	require.Equal(t, settings.Mesh{Deployment: "operators-platform", Service: "huvo11a", AvailabilityZone: "rn-natal", Region: "rn",
 		BackendServer: "10.1.0.8:8301", CallersListen: "10.1.0.8:8304", ReadyListen: "10.1.0.8:8302", AnnounceListen: "10.1.0.8:8306",
 		CallsListen: "10.1.0.8:8300", CallsAddress: "10.1.0.8:8300", Store: "10.200.1.7:8309", MemoryMB: 284, Grace: 6 * time.Second,
-		RepeatRatio: 0.2, RepeatsAllowed: 50, RepeatWindow: 10 * time.Second, WholeChains: true, GiveWay: true, CompareFailures: true,
+		RepeatRatio: 0.2, RepeatsAllowed: 50, RepeatWindow: 10 * time.Second, WholeChains: true, GiveWay: true, RepeatsByValue: true, CompareFailures: true,
 		LearnCapacity: true, QuotaWindow: 5 * time.Second, QuotaOver: 0.1, QuotaSlack: 20,
 		MaxDescriptors: 4100, CallerConnections: 900, ConnectionKB: 512}, m)
 }
@@ -80,6 +81,7 @@
 		"negative repeats":  {"repeats-allowed = 50", "repeats-allowed = -1", "repeats-allowed = -1 is out of range"},
 		"chains in words":   {"whole-chains = yes", "whole-chains = maybe", "whole-chains = maybe is not a choice"},
 		"give way alone":    {"whole-chains = yes\n", "", "give-way needs the reports of whole-chains"},
+		"by value alone":    {"whole-chains = yes\ngive-way = yes\n", "", "repeats-by-value needs the reports of whole-chains"},
 		"switch in words":   {"learn-capacity = yes", "learn-capacity = often", "learn-capacity = often is not a choice"},
 		"few descriptors":   {"max-descriptors = 4100", "max-descriptors = 100", "max-descriptors = 100 is out of range"},
 		"no connections":    {"caller-connections = 900", "caller-connections = 0", "caller-connections = 0 is out of range"},
