--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -173,29 +173,30 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.withdrawLocked(now, r) {
+		n.metrics.Add("repeats", 1, r.service)
+		return true
+	}
+	n.metrics.Add("repeats-denied", 1, r.service)
+	return false
+}
+
+// withdrawLocked withdraws a repeat from the part of the retry budget that this node has.
+func (n *Node) withdrawLocked(now time.Time, r *request) bool {
 	nodes := len(n.directory.Nodes())
 	if !n.settings.RepeatsByValue || n.chains == nil {
-		ok := n.retryBudgets.Withdraw(now, r.service, 1, nodes)
-		if ok {
-			n.metrics.Add("repeats", 1, r.service)
-		} else {
-			n.metrics.Add("repeats-denied", 1, r.service)
-		}
-		return ok
+		return n.retryBudgets.Withdraw(now, r.service, 1, nodes)
 	}
 	saving := n.savingLocked(now, r)
 	decision := n.retryBudgets.WithdrawFor(now, r.service, 1, nodes, saving)
-	if decision == retry.Allowed {
-		n.metrics.Add("repeats", 1, r.service)
-		return true
-	}
-	n.metrics.Add("repeats-denied", 1, r.service)
 	if decision == retry.KeptBack {
 		n.metrics.Add("repeats-kept-back", 1, r.service)
 	}
-	n.log.Info("repeat-denied", "request", r.id, "route", r.route.Name, "service", r.service, "why", decision.String(),
-		"rank", saving.Rank, "completes", saving.Completes, "spent", saving.Spent, "left", r.deadline.Sub(now))
-	return false
+	if decision != retry.Allowed {
+		n.log.Info("repeat-denied", "request", r.id, "route", r.route.Name, "service", r.service, "why", decision.String(),
+			"rank", saving.Rank, "completes", saving.Completes, "spent", saving.Spent, "left", r.deadline.Sub(now))
+	}
+	return decision == retry.Allowed
 }
 
 // reportOutcome passes the load and the outcome of an attempt to the chooser, and the part of its time that was spent on the way.
