--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -9,6 +9,7 @@
 	"lovagelane/dispatch"
 	"lovagelane/link"
 	"lovagelane/memory"
+	"lovagelane/retry"
 )
 
 const (
@@ -23,6 +24,8 @@
 	// account.
 	noRoomReason = "no-room"
 	shareReason  = "share"
+	// reasonCallerLeft is the reason of a request whose caller disconnected.
+	reasonCallerLeft = "caller-left"
 )
 
 // forward sends a request to one node after another until a backend server has run it or no other node may be tried.
@@ -170,13 +173,30 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	ok := n.retryBudgets.Withdraw(now, r.service, 1, len(n.directory.Nodes()))
-	if ok {
+	if n.withdrawLocked(now, r) {
 		n.metrics.Add("repeats", 1, r.service)
-	} else {
-		n.metrics.Add("repeats-denied", 1, r.service)
+		return true
 	}
-	return ok
+	n.metrics.Add("repeats-denied", 1, r.service)
+	return false
+}
+
+// withdrawLocked withdraws a repeat from the part of the retry budget that this node has.
+func (n *Node) withdrawLocked(now time.Time, r *request) bool {
+	nodes := len(n.directory.Nodes())
+	if !n.settings.RepeatsByValue || n.chains == nil {
+		return n.retryBudgets.Withdraw(now, r.service, 1, nodes)
+	}
+	saving := n.savingLocked(now, r)
+	decision := n.retryBudgets.WithdrawFor(now, r.service, 1, nodes, saving)
+	if decision == retry.KeptBack {
+		n.metrics.Add("repeats-kept-back", 1, r.service)
+	}
+	if decision != retry.Allowed {
+		n.log.Info("repeat-denied", "request", r.id, "route", r.route.Name, "service", r.service, "why", decision.String(),
+			"rank", saving.Rank, "completes", saving.Completes, "spent", saving.Spent, "left", r.deadline.Sub(now))
+	}
+	return decision == retry.Allowed
 }
 
 // reportOutcome passes the load and the outcome of an attempt to the chooser, and the part of its time that was spent on the way.
@@ -267,7 +287,7 @@
 			overdue.record(r)
 		case <-r.callerGone:
 			p.Cancel()
-			return answerMessage{}, failedResult{reason: "caller-left"}
+			return answerMessage{}, failedResult{reason: reasonCallerLeft}
 		case <-timer.C:
 			p.Cancel()
 			return answerMessage{}, failedResult{reason: "timeout", timeout: true}
@@ -300,7 +320,7 @@
 		return a, nil
 	case <-callerGone:
 		j.abandon()
-		return answerMessage{}, failedResult{reason: "caller-left"}
+		return answerMessage{}, failedResult{reason: reasonCallerLeft}
 	case <-timeout:
 		j.abandon()
 		return answerMessage{}, failedResult{reason: "timeout", timeout: true}
