Try no lower limit where rejections fall at any concurrency

Where the concurrency varies, a window shows it without a trial: rejected runs met no more running calls than others.

--- a/capacity/learner.go
+++ b/capacity/learner.go
@@ -131,7 +131,7 @@
 	}
 	if now.After(l.window.start) {
 		l.window.add(min(elapsed, now.Sub(l.window.start).Seconds()), l.running, l.waiting, l.Limit())
-		l.window.started += max(0, running-l.running+l.ended)
+		l.window.addStarts(max(0, running-l.running+l.ended), running)
 	}
 	l.updated, l.running, l.waiting, l.ended = now, running, waiting, 0
 	if now.Before(l.coldUntil) {
--- a/capacity/rejections.go
+++ b/capacity/rejections.go
@@ -16,6 +16,9 @@
 	// lessConcurrency is the concurrency, relative to that which led to the rejections, up to which a window shows the effect of
 	// the lower limit.
 	lessConcurrency = 0.95
+	// minSpread is the standard deviation of the concurrency, relative to its mean, from which on it tells whether rejections depend
+	// on it, and peakSpreads the number of standard deviations above the mean below which they don't.
+	minSpread, peakSpreads = 0.05, 0.5
 	// risingConcurrency is the concurrency, relative to that of the windows before, from which on it is rising.
 	risingConcurrency = 1.1
 	// rejectionDeviations is the number of standard deviations by which the share of rejected runs has to fall to depend on
@@ -46,6 +49,16 @@
 // rejectionPeak returns the mean concurrency in which rejections fell.
 func (w window) rejectionPeak() float64 { return float64(w.rejectedAt) / float64(max(w.rejected, 1)) }
 
+// rejectsAtRandom reports whether the concurrency varied in the window and was no higher for the rejected runs than for all.
+func (w window) rejectsAtRandom() bool {
+	if w.started == 0 {
+		return false
+	}
+	mean := float64(w.startedAt) / float64(w.started)
+	spread := math.Sqrt(max(0, float64(w.startedAtSquared)/float64(w.started)-mean*mean))
+	return spread >= minSpread*mean && w.rejectionPeak() < mean+peakSpreads*spread
+}
+
 func (c rejectionCount) share() float64 { return float64(c.rejected) / float64(max(c.started, 1)) }
 
 // exceeds reports whether the share of rejected runs is higher than another one by more than chance.
@@ -76,7 +89,7 @@
 			l.lower(now, int(rejectionBackoff*w.rejectionPeak()), int(w.rejectionPeak()))
 		}
 		return true
-	case !many || now.Before(r.next):
+	case !many || now.Before(r.next) || w.rejectsAtRandom():
 		r.high, r.concurrency, r.peak = rejectionCount{}, 0, 0
 		return false
 	}
--- a/capacity/search.go
+++ b/capacity/search.go
@@ -65,6 +65,8 @@
 	completed, started, rejected int
 	// rejectedAt is the sum over the rejected runs of the runs in flight.
 	rejectedAt int
+	// startedAt and startedAtSquared are the sums over the started runs of the runs in flight and of their square.
+	startedAt, startedAtSquared int
 }
 
 func (w *window) add(seconds float64, running, waiting, limit int) {
@@ -78,6 +80,13 @@
 	}
 }
 
+// addStarts counts runs that started and led to the given number in flight.
+func (w *window) addStarts(started, running int) {
+	w.started += started
+	w.startedAt += started * running
+	w.startedAtSquared += started * running * running
+}
+
 // isDue reports whether the window ends, if runs take the given time.
 func (w *window) isDue(now time.Time, runTime time.Duration) bool {
 	age := now.Sub(w.start)
