--- a/dispatch/chooser.go
+++ b/dispatch/chooser.go
@@ -1,12 +1,10 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"lovagelane/balance"
 	"lovagelane/kernel"
-	"lovagelane/slots"
 )
 
 const (
@@ -109,38 +107,6 @@
 	Typical time.Duration
 }
 
-// Outcome is the observed result of a call: Answered, Capped, Unusable, Failed or Inconclusive.
-type Outcome interface{ outcome() }
-
-// Answered means that the backend server ran the call.
-type Answered struct {
-	Route string
-	// RunTime is how long the call ran.
-	RunTime time.Duration
-	// Bytes is the size of the request and the answer.
-	Bytes int
-}
-
-// Capped means that the backend server accepts no more calls of the route now, because services that it calls are short of
-// capacity.
-type Capped struct{ Route string }
-
-// Unusable means that the backend server is unreachable or accepts no calls.
-type Unusable struct{}
-
-// Failed means that the backend server was reached but returned no valid answer.
-type Failed struct{}
-
-// Inconclusive means that the call says nothing about the backend server beyond its reported load: no slot became free in
-// time, the caller disconnected, or the deadline passed.
-type Inconclusive struct{}
-
-func (Answered) outcome()     {}
-func (Capped) outcome()       {}
-func (Unusable) outcome()     {}
-func (Failed) outcome()       {}
-func (Inconclusive) outcome() {}
-
 // Chooser tracks the load, run time and failures of all backend servers and chooses among them. The caller serializes
 // access to it. Its zero value has no candidates.
 type Chooser struct {
@@ -159,52 +125,6 @@
 	regionFailures map[serviceRegion]regionFailures
 }
 
-type serviceRegion struct{ service, region string }
-
-// regionWait is the moving average of the reported queue waits of a service in a region.
-type regionWait struct {
-	wait time.Duration
-	at   time.Time
-}
-
-func (r regionWait) current(now time.Time) time.Duration {
-	if r.wait == 0 {
-		return 0
-	}
-	return time.Duration(float64(r.wait) * math.Exp2(-now.Sub(r.at).Seconds()/regionWaitHalfLife.Seconds()))
-}
-
-func (c Candidate) serviceRegion() serviceRegion { return serviceRegion{c.Service, c.Place.Region} }
-
-// profile is what the calls of a route typically take.
-type profile struct {
-	// seconds is the moving average of the run time, and bytes that of the size of request and answer; 0 means unknown.
-	seconds, bytes float64
-	// reported follows the median of the reported run times, in seconds; 0 means none.
-	reported float64
-}
-
-// peer holds the observations of a candidate.
-type peer struct {
-	candidate Candidate
-	load      slots.Load
-	loadAt    time.Time
-	// sentSinceReport counts the calls sent after the last load report.
-	sentSinceReport int
-	// ratio is the moving average of the run time relative to the typical run time of the route; 0 while unknown.
-	ratio   float64
-	ratioAt time.Time
-	// reportedAt is the time of the last reported run time that changed ratio.
-	reportedAt time.Time
-	// failureRate is the moving average of the share of calls that failed.
-	failureRate   float64
-	failureRateAt time.Time
-	ejectedUntil  time.Time
-	backoff       time.Duration
-	// cappedUntil maps a route to the time until which the backend server is excluded for it.
-	cappedUntil *kernel.LRU[string, time.Time]
-}
-
 // Update replaces the candidates and keeps the observations of those that remain.
 func (c *Chooser) Update(home balance.Place, candidates []Candidate) {
 	c.home = home
@@ -332,20 +252,6 @@
 	return initialZoneRoundTrip
 }
 
-// RecordRoundTrip records how long a call to a node of another place took beyond its time there.
-func (c *Chooser) RecordRoundTrip(address string, d time.Duration) {
-	p := c.peers[address]
-	if p == nil || p.candidate.Place == c.home || d < 0 {
-		return
-	}
-	if c.roundTrips == nil {
-		c.roundTrips = map[balance.Place]time.Duration{}
-	}
-	place := p.candidate.Place
-	average := c.roundTrip(place)
-	c.roundTrips[place] = average + time.Duration(float64(min(d, maxRoundTrip)-average)*roundTripSmoothing)
-}
-
 // TypicalRunTime returns the typical run time of a route's calls, a moving average.
 func (c *Chooser) TypicalRunTime(route string) time.Duration {
 	if p := c.profile(route); p != nil {
@@ -362,19 +268,6 @@
 	return initialCallBytes
 }
 
-// profile returns the profile of a route, or nil if none of its calls was answered.
-func (c *Chooser) profile(route string) *profile {
-	if c.profiles == nil {
-		return nil
-	}
-	return c.profiles.Get(route)
-}
-
-// utilization returns the calls running, waiting and sent since the last load report, relative to the number of slots.
-func (p *peer) utilization() float64 {
-	return float64(p.load.Running+p.load.Waiting+p.sentSinceReport) / float64(max(p.candidate.Slots, 1))
-}
-
 // queueWait returns the expected time in the queue of a backend server. It is the last reported one, which gives way to the
 // average of the region as the report ages.
 func (c *Chooser) queueWait(now time.Time, p *peer, typical time.Duration) time.Duration {
@@ -391,204 +284,3 @@
 	aged := float64(age) / float64(loadReportTTL)
 	return time.Duration(float64(wait)*(1-aged) + float64(average)*aged)
 }
-
-// runTimeRatio returns the run time relative to the typical run time. Without answers, a ratio above 1 decays towards 1.
-func (p *peer) runTimeRatio(now time.Time) float64 {
-	if p.ratio == 0 {
-		return 1
-	}
-	ratio, halfLife := p.ratio, observationHalfLife
-	if p.reportedAt.Equal(p.ratioAt) {
-		halfLife = reportHalfLife
-	}
-	for age := now.Sub(p.ratioAt); age > halfLife && ratio > 1; age -= halfLife {
-		ratio = 1 + (ratio-1)/2
-	}
-	return ratio
-}
-
-// updateRatio moves the run time ratio towards an observed one.
-func (p *peer) updateRatio(now time.Time, observed, weight float64) {
-	ratio := p.runTimeRatio(now)
-	p.ratio = ratio + (min(maxRatio, max(minRatio, observed))-ratio)*weight
-	p.ratioAt = now
-}
-
-func (p *peer) isCapped(now time.Time, route string) bool {
-	if p.cappedUntil == nil {
-		return false
-	}
-	until := p.cappedUntil.Get(route)
-	return until != nil && now.Before(*until)
-}
-
-// currentFailureRate returns the failure rate, which decays with observationHalfLife so that the backend server is tried
-// again.
-func (p *peer) currentFailureRate(now time.Time) float64 {
-	if p.failureRate == 0 {
-		return 0
-	}
-	return p.failureRate * math.Exp2(-now.Sub(p.failureRateAt).Seconds()/observationHalfLife.Seconds())
-}
-
-func (c *Chooser) updateFailureRate(now time.Time, p *peer, failed float64) {
-	rate := p.currentFailureRate(now)
-	p.failureRate, p.failureRateAt = rate+(failed-rate)*failureSmoothing, now
-	if !c.CompareInRegion {
-		return
-	}
-	if c.regionFailures == nil {
-		c.regionFailures = map[serviceRegion]regionFailures{}
-	}
-	key := p.candidate.serviceRegion()
-	c.regionFailures[key] = c.regionFailures[key].with(now, failed)
-}
-
-// expectedFailureRate returns the failure rate that a call to a backend server is expected to meet. Rates of a few calls scatter, and
-// no call should leave its region for that: in another region, the rate is at least the average of that region, and in the own one
-// the standard deviation is taken off what lies above the average.
-func (c *Chooser) expectedFailureRate(now time.Time, p *peer) float64 {
-	rate := p.currentFailureRate(now)
-	if !c.CompareInRegion {
-		return rate
-	}
-	mean := c.regionFailures[p.candidate.serviceRegion()].current(now)
-	switch {
-	case p.candidate.Place.Region != c.home.Region:
-		return max(rate, mean)
-	case rate > mean:
-		return max(mean, rate-math.Sqrt(mean*(1-mean)*failureSmoothing/(2-failureSmoothing)))
-	}
-	return rate
-}
-
-// regionFailures is the moving average of the failure rate of a service in a region.
-type regionFailures struct {
-	rate, calls float64
-	at          time.Time
-}
-
-// current returns the average, which decays with observationHalfLife so that the region is tried again.
-func (r regionFailures) current(now time.Time) float64 {
-	if r.rate == 0 {
-		return 0
-	}
-	return r.rate * r.kept(now)
-}
-
-func (r regionFailures) kept(now time.Time) float64 {
-	return math.Exp2(-now.Sub(r.at).Seconds() / observationHalfLife.Seconds())
-}
-
-// with returns the average after a call. The first calls after a pause count more, so that it soon reflects the present.
-func (r regionFailures) with(now time.Time, failed float64) regionFailures {
-	rate, calls := r.current(now), 1.0
-	if r.calls > 0 {
-		calls += r.calls * r.kept(now)
-	}
-	calls = min(calls, maxRegionCalls)
-	return regionFailures{rate: rate + (failed-rate)/calls, calls: calls, at: now}
-}
-
-// RecordLoad records the load that a node reported for its backend server.
-func (c *Chooser) RecordLoad(now time.Time, address string, l slots.Load) {
-	p := c.peers[address]
-	if p == nil {
-		return
-	}
-	p.load, p.loadAt, p.sentSinceReport = l, now, 0
-	if c.regionWaits == nil {
-		c.regionWaits = map[serviceRegion]regionWait{}
-	}
-	key := p.candidate.serviceRegion()
-	average := c.regionWaits[key].current(now)
-	average += time.Duration(float64(l.Wait-average) * regionWaitSmoothing)
-	c.regionWaits[key] = regionWait{wait: average, at: now}
-}
-
-// RecordRunTime records the run time of a route's calls that a node expects at its backend server. A report that differs little
-// from what single answers show has no effect: all callers receive the same reports, and following each of their small changes
-// would send all calls to the same backend server.
-func (c *Chooser) RecordRunTime(now time.Time, address, route string, d time.Duration) {
-	p, typical := c.peers[address], c.profile(route)
-	if p == nil || typical == nil {
-		return
-	}
-	if typical.reported == 0 {
-		typical.reported = d.Seconds()
-	}
-	observed := d.Seconds() / typical.reported
-	typical.reported *= min(1+medianStep, max(1-medianStep, observed))
-	ratio := p.runTimeRatio(now)
-	if p.candidate.Place.Region != c.home.Region {
-		// A report may rest on a few short runs. Only answers show that another region is worth the way.
-		observed = max(observed, min(1, ratio))
-	}
-	if change := observed / ratio; change < minReportedChange && change > 1/minReportedChange {
-		return
-	}
-	p.updateRatio(now, observed, reportSmoothing)
-	p.reportedAt = now
-}
-
-// RecordOverdue records that a call has been running for a time without an answer.
-func (c *Chooser) RecordOverdue(now time.Time, address, route string, ran time.Duration) {
-	p, typical := c.peers[address], c.profile(route)
-	if p == nil || typical == nil || now.Sub(p.reportedAt) < loadReportTTL {
-		return
-	}
-	if ratio := ran.Seconds() / max(typical.seconds, typical.reported); ratio > p.runTimeRatio(now) {
-		p.updateRatio(now, ratio, ratioSmoothing)
-	}
-}
-
-// RecordOutcome records the outcome of a call to a backend server.
-func (c *Chooser) RecordOutcome(now time.Time, address string, o Outcome) {
-	p := c.peers[address]
-	if p == nil {
-		return
-	}
-	switch o := o.(type) {
-	case Answered:
-		p.ejectedUntil, p.backoff = time.Time{}, 0
-		c.updateFailureRate(now, p, 0)
-		c.recordRunTime(now, p, o)
-	case Unusable:
-		if now.Before(p.ejectedUntil) {
-			return
-		}
-		p.backoff = min(maxBackoff, max(initialBackoff, 2*p.backoff))
-		p.ejectedUntil = now.Add(p.backoff)
-	case Failed:
-		c.updateFailureRate(now, p, 1)
-	case Capped:
-		if p.cappedUntil == nil {
-			p.cappedUntil = kernel.NewLRU[string, time.Time](maxRouteCaps)
-		}
-		*p.cappedUntil.GetOrAdd(o.Route) = now.Add(routeCapTTL)
-	case Inconclusive:
-	}
-}
-
-// MarkUsable ends the ejection of a backend server that is known to be ready again.
-func (c *Chooser) MarkUsable(address string) {
-	if p := c.peers[address]; p != nil {
-		p.ejectedUntil, p.backoff = time.Time{}, 0
-	}
-}
-
-func (c *Chooser) recordRunTime(now time.Time, p *peer, o Answered) {
-	if c.profiles == nil {
-		c.profiles = kernel.NewLRU[string, profile](maxRoutes)
-	}
-	typical := c.profiles.GetOrAdd(o.Route)
-	runTime := max(o.RunTime.Seconds(), 1e-4)
-	if typical.seconds == 0 {
-		*typical = profile{seconds: runTime, bytes: float64(o.Bytes)}
-		return
-	}
-	ratio := min(maxRatio, max(minRatio, runTime/typical.seconds))
-	p.updateRatio(now, ratio, ratioSmoothing)
-	typical.seconds += (min(runTime, maxRatio*typical.seconds) - typical.seconds) * typicalSmoothing
-	typical.bytes += (float64(o.Bytes) - typical.bytes) * typicalSmoothing
-}
