Let small requests pass large ones that wait for room

Cause, by reading, of TestCallersOutsideTheLimits/bodies of 60 KB behind a slow one, red in 1 of 4 runs beside a load average of 43 to 104: connections that hold nothing yet wait for 184 KB each and went before a small request whose head was read, and requests that had been read waited for no bytes at all behind them, holding their own.

Change: the order counts what is asked for too, and a request that needs no room for its answer doesn't wait for room.

Result: memory.TestSmallRequestsPassLargeOnes, packages memory and intake green. The test of the crowd was red in its 1 run on this code (load 45 to 75), in the same case with other signs: the node logged nothing for more than 10 s.

--- a/intake/server.go
+++ b/intake/server.go
@@ -103,6 +103,9 @@
 // is none. While room is short, it waits for the answers to the earlier requests of the connection first, since this one would be
 // held for as long as they take. A handler calls it before it runs a request.
 func (x *Exchange) TakeAnswer(wait time.Duration, size int64) bool {
+	if size == 0 {
+		return true
+	}
 	ahead := x.previousSent != nil && !isClosed(x.previousSent)
 	if ahead && x.conn.held.TryTakeAhead(size) {
 		x.heldAnswer += size
--- a/memory/holding.go
+++ b/memory/holding.go
@@ -90,14 +90,15 @@
 	return true
 }
 
-// Take adds bytes and waits for room until ctx ends. It reports false if there was none. Connections that hold little go first.
+// Take adds bytes and waits for room until ctx ends. It reports false if there was none. Connections that hold little with these
+// bytes go first, so that a small request passes large ones that hold nothing yet.
 func (h *Holding) Take(ctx context.Context, size int64) bool {
 	if h == nil {
 		return true
 	}
 	b := h.b
 	b.mu.Lock()
-	rank := int(h.size / rankBytes)
+	rank := int((h.size + size) / rankBytes)
 	if float64(h.peer.size) > peerShare*float64(b.ceiling(Connections)) {
 		rank += peerRank
 	}
--- a/memory/holding_test.go
+++ b/memory/holding_test.go
@@ -144,3 +144,31 @@
 	_, ok := b.Reserve(ended(), memory.Answers, 0, 10*mb)
 	require.True(t, ok, "connections take no room from work that has run")
 }
+
+// Guards against a small request, of which a part is read, that waits behind an unending row of large ones that hold nothing yet.
+func TestSmallRequestsPassLargeOnes(t *testing.T) {
+	b := memory.New(10 * mb) // 3 MB of it are for connections.
+	holder, large, small := b.OpenHolding("10.0.0.1", mb), b.OpenHolding("10.0.0.1", mb), b.OpenHolding("10.0.0.1", mb)
+	holder.Add(3*mb - 8<<10)
+	small.Add(8 << 10)
+	first := make(chan bool, 2)
+	var wg sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	defer wg.Wait()
+	defer cancel()
+	for i, h := range []*memory.Holding{large, small} {
+		wg.Go(func() {
+			if h.Take(ctx, []int64{184 << 10, 8 << 10}[i]) {
+				first <- h == small
+			}
+		})
+		require.Eventually(t, func() bool { return b.Waiting() == i+1 }, 10*time.Second, time.Millisecond)
+	}
+	holder.Add(-8 << 10)
+	select {
+	case isSmall := <-first:
+		require.True(t, isSmall)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the small request waits behind the large one")
+	}
+}
