--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 test:
 	@cat KNOWN-RED.txt
-	$(GO) test -timeout 280s -skip '$(KNOWN_RED)|$(SOAK)' $$($(GO) list ./... | grep -v '^$(CROWDS)$$')
+	$(GO) test -timeout 280s -parallel 4 -skip '$(KNOWN_RED)|$(SOAK)' $$($(GO) list ./... | grep -v '^$(CROWDS)$$')
 	$(GO) test -timeout 280s -skip '$(KNOWN_RED)' -run '$(SOAK)' lovagelane/platform
 	$(GO) test -timeout 280s -skip '$(KNOWN_RED)' $(CROWDS)
 
