--- a/mesh/chains.go
+++ b/mesh/chains.go
@@ -80,7 +80,7 @@
 	case servedResult:
 		bad = res.answer.Status >= fasthttp.StatusInternalServerError
 	case failedResult:
-		if res.reason == reasonCallerLeft {
+		if res.reason == callerLeftReason {
 			return
 		}
 	}
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -24,8 +24,8 @@
 	// account.
 	noRoomReason = "no-room"
 	shareReason  = "share"
-	// reasonCallerLeft is the reason of a request whose caller disconnected.
-	reasonCallerLeft = "caller-left"
+	// callerLeftReason is the reason of a request whose caller disconnected.
+	callerLeftReason = "caller-left"
 )
 
 // forward sends a request to one node after another until a backend server has run it or no other node may be tried.
@@ -287,7 +287,7 @@
 			overdue.record(r)
 		case <-r.callerGone:
 			p.Cancel()
-			return answerMessage{}, failedResult{reason: reasonCallerLeft}
+			return answerMessage{}, failedResult{reason: callerLeftReason}
 		case <-timer.C:
 			p.Cancel()
 			return answerMessage{}, failedResult{reason: "timeout", timeout: true}
@@ -320,7 +320,7 @@
 		return a, nil
 	case <-callerGone:
 		j.abandon()
-		return answerMessage{}, failedResult{reason: reasonCallerLeft}
+		return answerMessage{}, failedResult{reason: callerLeftReason}
 	case <-timeout:
 		j.abandon()
 		return answerMessage{}, failedResult{reason: "timeout", timeout: true}
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -109,7 +109,7 @@
 			case <-r.callerGone:
 				// It left while the request waited for the token, so that the request must not run.
 				n.returnToken(r)
-				return failedResult{reason: reasonCallerLeft}
+				return failedResult{reason: callerLeftReason}
 			default:
 			}
 		}
--- a/mesh/repeats_test.go
+++ b/mesh/repeats_test.go
@@ -35,7 +35,7 @@
 	for range 20 {
 		n.recordCallEnd(nested, servedResult{answer: answerMessage{Status: fasthttp.StatusOK}})
 		n.recordCallEnd(nested, refusedResult{})
-		n.recordCallEnd(nested, failedResult{reason: reasonCallerLeft})
+		n.recordCallEnd(nested, failedResult{reason: callerLeftReason})
 	}
 	saving := n.savingLocked(now, nested)
 	require.True(t, saving.Spent)
--- a/retry/load_test.go
+++ b/retry/load_test.go
@@ -148,7 +148,8 @@
 //
 // All 187 repeats of the 340 requests are allowed, which complete 0.45 + 0.55 x 0.45 = 0.70 of them: 237.
 func TestRepeatsGoWhereTheyCompleteRequests(t *testing.T) {
-	l := serviceLoad{sources: []source{{rate: 20, calls: 8, saving: callOfEight}, {rate: 40, calls: 1, saving: retry.Saving{Kind: "page", Completes: 1}}},
+	alike := source{rate: 40, calls: 1, saving: retry.Saving{Kind: "page", Completes: 1}}
+	l := serviceLoad{sources: []source{{rate: 20, calls: 8, saving: callOfEight}, alike},
 		rejects: 0.55, repeatsRejected: 0.55}
 	byValue, inOrder := l.playAll(t)
 	require.Greater(t, float64(byValue[1].completed), 0.9*0.70*float64(byValue[1].offered))
