Drop answers whose status HTTP does not have

What callers saw: a backend server in trouble answered with status 000, and its caller got 200 with the backend server's stamp and body. 600 to 999 and 101 were passed on as they were, and 000 with the sign of a rejection was told as 503, "not run".

Cause: fasthttp accepts any three digits as the status and keeps 0 for "not set", which it reads and writes as 200.

Fix: the new package answers checks the head in the read buffer before fasthttp parses it. A status other than 100 to 599, or 101, ends the exchange as lost: the connection is closed, a call that may run again is repeated within the budget, any other gets 502. The status is checked at the place at which all answers of the own backend server are read.

--- /dev/null
+++ b/answers/head.go
@@ -0,0 +1,121 @@
+package answers
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+const (
+	// maxInterimAnswers is the number of interim answers that are discarded before a final one.
+	maxInterimAnswers = 100
+	// maxQuotedBytes is how much of a malformed line an error shows.
+	maxQuotedBytes = 40
+
+	firstStatus, firstFinalStatus, lastStatus = 100, 200, 599
+	// switchingProtocols is the status of an answer after which a connection carries another protocol.
+	switchingProtocols = 101
+)
+
+// MalformedError says why a head is malformed. The peer may have run the request.
+type MalformedError string
+
+// Error returns the reason.
+func (e MalformedError) Error() string { return "malformed answer: " + string(e) }
+
+func malformed(format string, args ...any) error { return MalformedError(fmt.Sprintf(format, args...)) }
+
+// Await waits until r has buffered the head of a final answer, and checks it. It discards interim answers and leaves the final
+// one in r. The buffer of r limits the size of a head. It returns a MalformedError, io.EOF if r ends before the head and
+// io.ErrUnexpectedEOF if r ends within it, or another error of r.
+func Await(r *bufio.Reader) error {
+	for range maxInterimAnswers + 1 {
+		h, err := peekHead(r)
+		if err != nil {
+			return err
+		}
+		if h.status >= firstFinalStatus {
+			return nil
+		}
+		if _, err := r.Discard(h.size); err != nil {
+			return err
+		}
+	}
+	return malformed("more than %d interim answers", maxInterimAnswers)
+}
+
+// head is what the lines of a head state.
+type head struct {
+	// size is the number of bytes of the lines.
+	size int
+	// status is 0 before the status line.
+	status   int
+	complete bool
+}
+
+// peekHead reads the lines of a head from the buffer of r, without consuming them.
+func peekHead(r *bufio.Reader) (head, error) {
+	var h head
+	for !h.complete {
+		line, err := peekLine(r, h.size)
+		if err != nil {
+			return h, err
+		}
+		if err := h.add(line); err != nil {
+			return h, err
+		}
+	}
+	return h, nil
+}
+
+// peekLine returns the line that starts behind the first offset bytes of r, with its end.
+func peekLine(r *bufio.Reader, offset int) ([]byte, error) {
+	for size := offset + 1; ; size = r.Buffered() + 1 {
+		_, err := r.Peek(size)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			return nil, malformed("its head is larger than %d bytes", r.Size())
+		case errors.Is(err, io.EOF) && r.Buffered() > 0:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+		b, err := r.Peek(r.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if i := bytes.IndexByte(b[offset:], '\n'); i >= 0 {
+			return b[offset : offset+i+1], nil
+		}
+	}
+}
+
+// add adds a line with its end.
+func (h *head) add(line []byte) error {
+	h.size += len(line)
+	text := bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+	switch {
+	case h.status > 0:
+		h.complete = len(text) == 0
+	case len(text) > 0: // Empty lines before the status line may end an earlier body.
+		return h.addStatusLine(text)
+	}
+	return nil
+}
+
+func (h *head) addStatusLine(line []byte) error {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, err := strconv.ParseUint(string(code), 10, 16)
+	if err != nil || len(code) != 3 || status < firstStatus || status > lastStatus {
+		return malformed("status %.*q is not one of %d to %d", maxQuotedBytes, code, firstStatus, lastStatus)
+	}
+	if status == switchingProtocols {
+		return malformed("status %d without a request for another protocol", status)
+	}
+	h.status = int(status)
+	return nil
+}
--- /dev/null
+++ b/answers/head_test.go
@@ -0,0 +1,81 @@
+package answers_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagelane/answers"
+)
+
+const bufferSize = 256
+
+// await checks the first answer in text, read whole and byte by byte, and returns what is left to read then.
+func await(t *testing.T, text string) (string, error) {
+	t.Helper()
+	whole, single := strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))
+	r := bufio.NewReaderSize(whole, bufferSize)
+	err := answers.Await(r)
+	rest, readErr := io.ReadAll(r)
+	require.NoError(t, readErr)
+	require.Equal(t, err, answers.Await(bufio.NewReaderSize(single, bufferSize)), "read byte by byte")
+	return string(rest), err
+}
+
+// Guards against a head that is changed or lost by its check, and against an interim answer that is taken for the final one.
+func TestFinalAnswersAreLeftUnread(t *testing.T) {
+	const final = "HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\nwhole"
+	for _, interim := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 199 Odd\r\n\r\n"} {
+		rest, err := await(t, interim+final)
+		require.NoError(t, err)
+		require.Equal(t, final, rest)
+	}
+}
+
+// Guards against a status that HTTP doesn't have, and against a wait for the rest of an answer that can't be valid any more.
+func TestInvalidStatusIsMalformed(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20",
+		"HTTP/1.1 +20 OK", "HTTP/1.1 2_0 OK", "HTTP/1.1", "HTTP/1.1 ", "\x00\xff",
+	} {
+		var malformed answers.MalformedError
+		_, err := await(t, line+"\r\n")
+		require.ErrorAs(t, err, &malformed, line)
+	}
+}
+
+// Guards against a head that broke off and is taken as a whole one.
+func TestHeadsThatBreakOffAreNotAnswers(t *testing.T) {
+	_, err := await(t, "")
+	require.Equal(t, io.EOF, err)
+	const head = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-A: 1\r\n\r\n"
+	for size := 1; size < len(head); size++ {
+		if head[:size] == "HTTP/1.1 103 Early Hints\r\n\r\n" {
+			continue // The final answer has not begun.
+		}
+		_, err := await(t, head[:size])
+		require.Equal(t, io.ErrUnexpectedEOF, err, "%q", head[:size])
+	}
+	broken := errors.New("reset")
+	err = answers.Await(bufio.NewReader(io.MultiReader(strings.NewReader(head[:40]), iotest.ErrReader(broken))))
+	require.Equal(t, broken, err)
+}
+
+// Guards against heads, or interim answers, without end.
+func TestHeadsWithoutEndAreMalformed(t *testing.T) {
+	for name, text := range map[string]string{
+		"line":            "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("x", bufferSize),
+		"lines":           "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: 1\r\n", bufferSize),
+		"empty lines":     strings.Repeat("\r\n", bufferSize),
+		"interim answers": strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 200),
+	} {
+		var malformed answers.MalformedError
+		_, err := await(t, text)
+		require.ErrorAs(t, err, &malformed, name)
+	}
+}
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lovagelane/answers"
 	"lovagelane/directory"
 	"lovagelane/disconnect"
 	"lovagelane/kernel"
@@ -215,8 +216,9 @@
 	defer fasthttp.ReleaseResponse(resp)
 	resp.StreamBody, resp.SkipBody = true, h.IsHead()
 	for skipped := range maxStrayAnswers + 1 {
-		if err := kernel.Protect(func() error { return resp.ReadLimitBody(k.r, 0) }); err != nil {
+		if err := readAnswerHead(k.r, resp); err != nil {
 			k.close()
+			b.logMalformed(j, err)
 			return readFailure(err)
 		}
 		meta := b.n.deployment.ReadAnswer(&resp.Header)
@@ -238,6 +240,23 @@
 	return exchangeResult{outcome: outcomeLost, reason: "stray-answers"}
 }
 
+// readAnswerHead reads the head of an answer, behind which the body is a stream.
+func readAnswerHead(r *bufio.Reader, resp *fasthttp.Response) error {
+	if err := answers.Await(r); err != nil {
+		return err
+	}
+	return kernel.Protect(func() error { return resp.ReadLimitBody(r, 0) })
+}
+
+// logMalformed logs what is wrong with an answer, if err says so.
+func (b *backend) logMalformed(j *job, err error) {
+	var malformed answers.MalformedError
+	if errors.As(err, &malformed) {
+		b.n.log.Warn("answer-head-malformed", "request", j.m.RequestID, "error", malformed)
+		b.n.metrics.Add("malformed-answer-heads", 1)
+	}
+}
+
 // writeRequest writes a request, and a large body without copying it.
 func (k *backendConn) writeRequest(head, body []byte) error {
 	if len(body) <= memory.FreeBytes {
@@ -370,9 +389,13 @@
 func readFailure(err error) exchangeResult {
 	var timeout net.Error
 	var reason answerError
+	var malformed answers.MalformedError
 	switch {
 	case errors.As(err, &reason):
 		return exchangeResult{outcome: outcomeLost, reason: string(reason)}
+	case errors.As(err, &malformed):
+		// A backend server that crashes may send such bytes before.
+		return exchangeResult{outcome: outcomeLost, reason: "answer-head-malformed", connectionLost: true}
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return exchangeResult{outcome: outcomeLost, reason: "backend-server-timeout"}
 	}
