Drop answers with malformed field names or line ends

What callers saw: a backend server in trouble sent a blank in the name of a field, and its caller got the answer with that line ("X Own: 1"). Where the name framed the body, the caller got another body than the backend server's: the chunks of "Transfer Encoding: chunked" as they were, or their first 5 bytes as a whole body. A line feed before a name ended the head there, and the fields behind it were served as the body.

Cause: fasthttp accepts blanks in and behind a name, joins a line that begins with a blank to the field above, and takes a line feed alone as the end of a line.

Fix: package answers checks each line before the parser sees it. A name has to be a token of RFC 9110, a value holds no control bytes, and a line ends with carriage return and line feed.

--- a/answers/head.go
+++ b/answers/head.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 )
 
 const (
@@ -96,10 +97,14 @@
 // add adds a line with its end.
 func (h *head) add(line []byte) error {
 	h.size += len(line)
-	text := bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+	text, ok := bytes.CutSuffix(line, []byte("\r\n"))
 	switch {
+	case !ok:
+		return malformed("line %.*q does not end with a carriage return and a line feed", maxQuotedBytes, line)
+	case h.status > 0 && len(text) == 0:
+		h.complete = true
 	case h.status > 0:
-		h.complete = len(text) == 0
+		return checkField(text)
 	case len(text) > 0: // Empty lines before the status line may end an earlier body.
 		return h.addStatusLine(text)
 	}
@@ -119,3 +124,30 @@
 	h.status = int(status)
 	return nil
 }
+
+// checkField checks a field line. A blank before or behind the name is malformed too: parsers differ in what they make of it, and
+// with that in where the answer ends.
+func checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	switch {
+	case !ok:
+		return malformed("field %.*q has no colon", maxQuotedBytes, line)
+	case len(name) == 0 || bytes.ContainsFunc(name, isNotToken):
+		return malformed("field name %.*q is not a token", maxQuotedBytes, name)
+	case bytes.ContainsFunc(value, isControl):
+		return malformed("field %.*s has control bytes in its value", maxQuotedBytes, name)
+	}
+	return nil
+}
+
+// isNotToken reports whether a character can't be part of a token of RFC 9110.
+func isNotToken(c rune) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		return false
+	}
+	return !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+}
+
+// isControl reports whether a character is a control byte that a field value can't hold.
+func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
--- a/answers/head_test.go
+++ b/answers/head_test.go
@@ -49,6 +49,20 @@
 	}
 }
 
+// Guards against field names that parsers read in different ways, and against line ends that some of them miss.
+func TestInvalidFieldIsMalformed(t *testing.T) {
+	for _, line := range []string{
+		"X A: 1", "X-A : 1", " X-A: 1", "\tX-A: 1", "X\x00A: 1", "X\x7fA: 1", "X\rA: 1", "\rX-A: 1", "X\x80A: 1", "X(A: 1", ": 1", ":", "X-A",
+		"X-A: \x00", "X-A: 1\r2", "X-A: 1\n", "\n", "\r",
+	} {
+		for _, start := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 103 Early Hints\r\n", "HTTP/1.1 200 OK\r\nX-B: 2\r\n"} {
+			var malformed answers.MalformedError
+			_, err := await(t, start+line+"\r\n")
+			require.ErrorAs(t, err, &malformed, "%q", start+line)
+		}
+	}
+}
+
 // Guards against a head that broke off and is taken as a whole one.
 func TestHeadsThatBreakOffAreNotAnswers(t *testing.T) {
 	_, err := await(t, "")
