Drop answers with a malformed version or reason

What callers saw: a status line as the backend server sent it, with HTTP/9.9 as its version or a NUL in its reason.

Cause: fasthttp accepts any two digits as the version and any bytes as the reason, and writes both again.

Fix: package answers takes HTTP/1.0 and HTTP/1.1 only, and no control bytes in a reason.

--- a/answers/head.go
+++ b/answers/head.go
@@ -112,14 +112,18 @@
 }
 
 func (h *head) addStatusLine(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
-	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, err := strconv.ParseUint(string(code), 10, 16)
-	if err != nil || len(code) != 3 || status < firstStatus || status > lastStatus {
+	switch {
+	case string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0":
+		return malformed("version %.*q is neither HTTP/1.0 nor HTTP/1.1", maxQuotedBytes, version)
+	case err != nil || len(code) != 3 || status < firstStatus || status > lastStatus:
 		return malformed("status %.*q is not one of %d to %d", maxQuotedBytes, code, firstStatus, lastStatus)
-	}
-	if status == switchingProtocols {
+	case status == switchingProtocols:
 		return malformed("status %d without a request for another protocol", status)
+	case bytes.ContainsFunc(reason, isControl):
+		return malformed("status %d has control bytes in its reason", status)
 	}
 	h.status = int(status)
 	return nil
@@ -149,5 +153,5 @@
 	return !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
 }
 
-// isControl reports whether a character is a control byte that a field value can't hold.
+// isControl reports whether a character is a control byte that a field value and a reason can't hold.
 func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
--- a/answers/head_test.go
+++ b/answers/head_test.go
@@ -37,11 +37,13 @@
 	}
 }
 
-// Guards against a status that HTTP doesn't have, and against a wait for the rest of an answer that can't be valid any more.
-func TestInvalidStatusIsMalformed(t *testing.T) {
+// Guards against a status line that HTTP doesn't have, and against a wait for the rest of an answer that can't be valid any more.
+func TestInvalidStatusLineIsMalformed(t *testing.T) {
 	for _, line := range []string{
 		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20",
 		"HTTP/1.1 +20 OK", "HTTP/1.1 2_0 OK", "HTTP/1.1", "HTTP/1.1 ", "\x00\xff",
+		"HTTP/1.7 200 OK", "HTTP/2.0 200 OK", "http/1.1 200 OK", "200 OK", " HTTP/1.1 200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200 O\x00K",
+		"HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x7fK",
 	} {
 		var malformed answers.MalformedError
 		_, err := await(t, line+"\r\n")
