Drop answers of HTTP/1.0 that have a transfer coding

What callers saw: the chunks of an answer, with their sizes, as its body, or the first bytes of them as a whole body.

Cause: fasthttp ignores Transfer-Encoding in answers of HTTP/1.0 and frames the body by its length or the end of the connection.

Fix: package answers takes such a head as malformed, as RFC 9112 section 6.1 asks of a client.

--- a/answers/head.go
+++ b/answers/head.go
@@ -54,6 +54,7 @@
 	size int
 	// status is 0 before the status line.
 	status   int
+	http10   bool
 	complete bool
 }
 
@@ -104,7 +105,7 @@
 	case h.status > 0 && len(text) == 0:
 		h.complete = true
 	case h.status > 0:
-		return checkField(text)
+		return h.checkField(text)
 	case len(text) > 0: // Empty lines before the status line may end an earlier body.
 		return h.addStatusLine(text)
 	}
@@ -125,13 +126,13 @@
 	case bytes.ContainsFunc(reason, isControl):
 		return malformed("status %d has control bytes in its reason", status)
 	}
-	h.status = int(status)
+	h.status, h.http10 = int(status), string(version) == "HTTP/1.0"
 	return nil
 }
 
 // checkField checks a field line. A blank before or behind the name is malformed too: parsers differ in what they make of it, and
 // with that in where the answer ends.
-func checkField(line []byte) error {
+func (h *head) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	switch {
 	case !ok:
@@ -140,6 +141,8 @@
 		return malformed("field name %.*q is not a token", maxQuotedBytes, name)
 	case bytes.ContainsFunc(value, isControl):
 		return malformed("field %.*s has control bytes in its value", maxQuotedBytes, name)
+	case h.http10 && strings.EqualFold(string(name), "Transfer-Encoding"):
+		return malformed("an answer of HTTP/1.0 has a transfer coding")
 	}
 	return nil
 }
--- a/answers/head_test.go
+++ b/answers/head_test.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// Guards against a body that ends where the connection does, although it has chunks.
+func TestTransferCodingOfHTTP10IsMalformed(t *testing.T) {
+	var malformed answers.MalformedError
+	_, err := await(t, "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+	require.ErrorAs(t, err, &malformed)
+	_, err = await(t, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+	require.NoError(t, err)
+}
+
 // Guards against a head that broke off and is taken as a whole one.
 func TestHeadsThatBreakOffAreNotAnswers(t *testing.T) {
 	_, err := await(t, "")
