Keep trailer fields of an answer out of its head

What callers saw: fields that a backend server sent behind the chunks of its body, among the fields of the head: with a blank in the name, or as a second X-Server-Signature or X-Request-Id.

Cause: fasthttp adds trailer fields to the header as it reads the end of the body, and the node took the head of the answer only then.

Fix: the header is copied before the body is read, if the body has no stated length. Trailer fields are dropped, as RFC 9110 section 6.5 allows: callers get a body of known length, which has none.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -318,7 +318,6 @@
 					if body, err = readParts(body, stream); err != nil {
 						return nil, reserved, err
 					}
-					resp.Header.SetContentLength(len(body))
 					reserved.Shrink(kept * int64(len(body)))
 					return body, reserved, resp.CloseBodyStream()
 				}
@@ -330,7 +329,6 @@
 		body = body[:len(body)+count]
 		switch {
 		case errors.Is(err, io.EOF):
-			resp.Header.SetContentLength(len(body))
 			reserved.Shrink(kept * int64(len(body)))
 			return body, reserved, resp.CloseBodyStream()
 		case err != nil:
@@ -421,6 +419,7 @@
 		}
 		return exchangeResult{outcome: outcomeRejected, reason: "backend-server", status: resp.StatusCode()}
 	}
+	h, hasBody := headerBeforeBody(resp), resp.BodyStream() != nil
 	body, reserved, err := b.readBody(j, resp)
 	if err != nil {
 		k.close()
@@ -428,8 +427,21 @@
 		return readFailure(err)
 	}
 	b.release(k, resp, meta)
-	return exchangeResult{outcome: outcomeAnswered, status: resp.StatusCode(), head: answerHead(&resp.Header), body: body,
-		reserved: reserved}
+	if hasBody {
+		h.SetContentLength(len(body))
+	}
+	return exchangeResult{outcome: outcomeAnswered, status: resp.StatusCode(), head: answerHead(h), body: body, reserved: reserved}
+}
+
+// headerBeforeBody returns the header of an answer without the trailer fields of its body, which fasthttp adds to the header as it
+// reads them.
+func headerBeforeBody(resp *fasthttp.Response) *fasthttp.ResponseHeader {
+	if resp.Header.ContentLength() >= 0 {
+		return &resp.Header
+	}
+	h := &fasthttp.ResponseHeader{}
+	resp.Header.CopyTo(h)
+	return h
 }
 
 // release returns a connection to the idle ones. It closes it if the answer asks for that or if there are unread bytes, which
