Drop malformed answers on the own interface too

Status 000 of a backend server came as 200, fields with blanks in their names were passed on, and a blank or a line feed in a name changed the body. A backend server whose health check was answered with status 000 counted as healthy.

Cause: the clients of the own interface read answers with fasthttp alone.

Fix: answers.Conn wraps the connections of all clients of a node, to its own backend server and to other nodes. It checks the head of each answer with the same code as the mesh node before the client reads a byte of it. The error reaches the node as a MalformedError, not as a closed connection, so that no call is suspected of a crash.

--- a/node/backend.go
+++ b/node/backend.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lovagelane/answers"
 	"lovagelane/membership"
 )
 
@@ -37,10 +38,18 @@
 	return conn, nil
 }
 
-// newClient returns an HTTP client for one address. It never retries a request by itself.
+// newClient returns an HTTP client for one address. It never retries a request by itself, and fails with an
+// answers.MalformedError if the head of the answer is malformed.
 func newClient(address string, connect func(string) (net.Conn, error), idle time.Duration) *fasthttp.HostClient {
+	dial := func(address string) (net.Conn, error) {
+		conn, err := connect(address)
+		if err != nil {
+			return nil, err
+		}
+		return answers.NewConn(conn), nil
+	}
 	return &fasthttp.HostClient{
-		Addr: address, Dial: connect, MaxIdleConnDuration: idle, MaxIdemponentCallAttempts: 1, MaxConns: maxWorkers,
+		Addr: address, Dial: dial, MaxIdleConnDuration: idle, MaxIdemponentCallAttempts: 1, MaxConns: maxWorkers,
 		StreamResponseBody: true, DisablePathNormalizing: true, DisableHeaderNamesNormalizing: false,
 		NoDefaultUserAgentHeader: true, ReadBufferSize: maxHeaderBytes, MaxResponseBodySize: maxBufferedBody,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
--- a/node/serving.go
+++ b/node/serving.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/admission"
+	"lovagelane/answers"
 	"lovagelane/call"
 	"lovagelane/keys"
 	"lovagelane/ticket"
@@ -239,6 +240,11 @@
 // failFlight refuses a call for which the backend server gave no answer.
 func (n *Node) failFlight(ctx *fasthttp.RequestCtx, f *flight, err error, end func()) {
 	r := refusal(call.ReasonBackendFailed, call.OutcomeUnknown, "")
+	var malformed answers.MalformedError
+	if errors.As(err, &malformed) {
+		n.log.Warn("answer-head-malformed", "request", f.meta.RequestID, "error", malformed)
+		n.metrics.Add("malformed-answer-heads", 1)
+	}
 	switch {
 	case errors.Is(err, errDial), errors.Is(err, fasthttp.ErrNoFreeConns):
 		r = refusal(call.ReasonNoBackendServer, call.OutcomeNotRun, "")
--- a/node/stray_test.go
+++ b/node/stray_test.go
@@ -42,6 +42,19 @@
 // serveCalls replaces the backend server of an instance by one that passes each call to handle, and closes the connection when
 // handle returns false. It answers health checks itself.
 func (i *instance) serveCalls(handle func(c net.Conn, req *fasthttp.Request) bool) {
+	i.serveRequests(func(c net.Conn, req *fasthttp.Request) bool {
+		if string(req.Header.RequestURI()) == "/health" {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		return handle(c, req)
+	})
+	i.d.eventually("serving again", func() bool { return i.Status().BackendServerUp })
+}
+
+// serveRequests replaces the backend server of an instance by one that passes each request to handle, and closes the connection when
+// handle returns false.
+func (i *instance) serveRequests(handle func(c net.Conn, req *fasthttp.Request) bool) {
 	address := i.ln.Addr().String()
 	require.NoError(i.d.t, i.server.Shutdown())
 	ln, err := net.Listen("tcp", address)
@@ -52,14 +65,7 @@
 		r := bufio.NewReader(c)
 		for {
 			var req fasthttp.Request
-			if err := req.Read(r); err != nil {
-				return
-			}
-			if string(req.Header.RequestURI()) == "/health" {
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-				continue
-			}
-			if !handle(c, &req) {
+			if req.Read(r) != nil || !handle(c, &req) {
 				return
 			}
 		}
@@ -74,7 +80,6 @@
 			group.Go("serve", func(context.Context) error { serve(c); return nil })
 		}
 	})
-	i.d.eventually("serving again", func() bool { return i.Status().BackendServerUp })
 }
 
 func rawAnswer(path, context string) string {
