Take malformed answers of the store as errors

What operators and callers would see: an answer with status 000 counted as an acknowledged write, or as an empty table. A malformed 503 or 412 counted as the promise that nothing was written, and a malformed 404 as a missing row.

Result: all cases are errors of the kind "unknown" or "unavailable".

--- a/tablestore/client.go
+++ b/tablestore/client.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"lovagelane/answers"
 )
 
 const (
@@ -31,7 +34,9 @@
 
 // Client implements Store over HTTP with JSON. It is safe for concurrent use.
 type Client struct {
-	base        string
+	base string
+	// tlsConfig is nil if the store is not behind TLS.
+	tlsConfig   *tls.Config
 	timeout     time.Duration
 	defaultHTTP *fasthttp.Client
 	rowListHTTP *fasthttp.Client
@@ -54,6 +59,9 @@
 		timeout: cmp.Or(timeout, DefaultTimeout),
 		open:    map[net.Conn]struct{}{},
 	}
+	if u.Scheme == "https" {
+		c.tlsConfig = &tls.Config{ServerName: u.Hostname()}
+	}
 	c.defaultHTTP, c.rowListHTTP = c.newHTTP(maxResponseBytes), c.newHTTP(maxRowListBytes)
 	return c, nil
 }
@@ -98,6 +106,16 @@
 	return t.Conn.Close()
 }
 
+// secureConn is a checked connection inside TLS. fasthttp adds TLS to any connection without the method Handshake, and what it
+// would add here could not be checked.
+type secureConn struct {
+	*answers.Conn
+	secured *tls.Conn
+}
+
+// Handshake runs the TLS handshake if it has not run yet.
+func (s secureConn) Handshake() error { return s.secured.Handshake() }
+
 func (c *Client) dial(address string) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
@@ -111,7 +129,11 @@
 		return nil, errDial
 	}
 	c.open[t] = struct{}{}
-	return t, nil
+	if c.tlsConfig != nil {
+		secured := tls.Client(t, c.tlsConfig)
+		return secureConn{answers.NewConn(secured), secured}, nil
+	}
+	return answers.NewConn(t), nil
 }
 
 type request struct {
--- a/tablestore/client_test.go
+++ b/tablestore/client_test.go
@@ -2,8 +2,20 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
 	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math/big"
 	"net"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -203,3 +215,62 @@
 	require.Equal(t, []string{"a=v", "c=w"}, readable)
 	require.Equal(t, []string{"odd", "", "", "b"}, odd)
 }
+
+// Guards against a store behind TLS that can't be reached, or whose certificate is not checked.
+func TestStoreBehindTLS(t *testing.T) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	der, err := x509.CreateCertificate(rand.Reader, &template, &template, &key.PublicKey, key)
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "authority.pem")
+	require.NoError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	t.Setenv("SSL_CERT_FILE", file)
+
+	ln, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}})
+	require.NoError(t, err)
+	s := &fasthttp.Server{Handler: respondWith(fasthttp.StatusOK, `{"revision":7}`), Logger: log.New(io.Discard, "", 0)}
+	g := kernel.NewGroup(t.Context())
+	g.Go("server", func(context.Context) error { return s.Serve(ln) })
+	t.Cleanup(func() { _ = s.Shutdown() })
+
+	port := ln.Addr().(*net.TCPAddr).Port
+	for range 2 {
+		revision, _, err := newClient(t, fmt.Sprintf("https://127.0.0.1:%d", port), 0).Rows(t.Context(), "t", 0)
+		require.NoError(t, err)
+		require.EqualValues(t, 7, revision)
+	}
+	_, _, err = newClient(t, fmt.Sprintf("https://localhost:%d", port), 0).Rows(t.Context(), "t", 0)
+	require.ErrorContains(t, err, "localhost", "the certificate is for another name")
+}
+
+// Guards against a malformed answer of the store that counts as a committed write, as a missing row, or as the promise that nothing was
+// written.
+func TestMalformedAnswersAreErrors(t *testing.T) {
+	for name, answer := range map[string]string{
+		"status 000":      "HTTP/1.1 000 OK\r\nContent-Length: 15\r\n\r\n{\"revision\": 7}",
+		"blank in a name": "HTTP/1.1 200 OK\r\nX Own: 1\r\nContent-Length: 15\r\n\r\n{\"revision\": 7}",
+		"not found":       "HTTP/1.1 404 Not Found\r\nX Own: 1\r\nContent-Length: 0\r\n\r\n",
+		"unavailable":     "HTTP/1.1 503 Service Unavailable\r\nX Own: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newClient(t, startServer(t, func(ctx *fasthttp.RequestCtx) {
+				ctx.HijackSetNoResponse(true)
+				ctx.Hijack(func(conn net.Conn) {
+					_, _ = io.WriteString(conn, answer)
+					_ = conn.Close()
+				})
+			}), 0)
+			_, err := c.Transact(t.Context(), "t", []tablestore.Write{{Key: "k", Value: "v"}})
+			require.Equal(t, "unknown", errorKind(err))
+			require.Equal(t, "unknown", errorKind(c.PutObject(t.Context(), "o", []byte("text"))))
+			_, _, err = c.Row(t.Context(), "t", "k")
+			require.Equal(t, "unavailable", errorKind(err))
+			_, _, err = c.Rows(t.Context(), "t", 0)
+			require.Equal(t, "unavailable", errorKind(err))
+			_, _, err = c.Object(t.Context(), "o")
+			require.Equal(t, "unavailable", errorKind(err))
+		})
+	}
+}
