Reject malformed heads that other nodes pass on

What callers would see: while nodes are replaced by a new release, a malformed answer that a node of the earlier release took from its backend server.

Cause: the head of an answer from another node is read with fasthttp alone.

Evidence: mesh.TestMalformedHeadsOfOtherNodesAreRejected failed before, at its first status ("HTTP/1.1 000 OK": no error).

Fix: such heads pass answers.Check, which has the same rules for lines as answers.Await.

--- a/answers/head.go
+++ b/answers/head.go
@@ -48,6 +48,27 @@
 	return malformed("more than %d interim answers", maxInterimAnswers)
 }
 
+// Check checks the whole head of a final answer, and returns a MalformedError if it is malformed.
+func Check(b []byte) error {
+	var h head
+	for !h.complete {
+		end := bytes.IndexByte(b[h.size:], '\n')
+		if end < 0 {
+			return malformed("the head ends within a line")
+		}
+		if err := h.add(b[h.size : h.size+end+1]); err != nil {
+			return err
+		}
+	}
+	switch {
+	case h.status < firstFinalStatus:
+		return malformed("status %d is not final", h.status)
+	case h.size < len(b):
+		return malformed("%d bytes follow the head", len(b)-h.size)
+	}
+	return nil
+}
+
 // head is what the lines of a head state.
 type head struct {
 	// size is the number of bytes of the lines.
--- a/mesh/head.go
+++ b/mesh/head.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lovagelane/answers"
 	"lovagelane/call"
 )
 
@@ -70,8 +71,11 @@
 	return h, h.Read(headReader(b))
 }
 
-// parseAnswerHead parses the output of answerHead.
+// parseAnswerHead parses the output of answerHead. A node of an earlier release passes malformed heads on.
 func parseAnswerHead(b []byte) (*fasthttp.ResponseHeader, error) {
+	if err := answers.Check(b); err != nil {
+		return nil, err
+	}
 	h := &fasthttp.ResponseHeader{}
 	h.SetNoDefaultContentType(true)
 	return h, h.Read(headReader(b))
