Test that heads of answers that break off are not served

Operators of similar systems report that a backend server stopped in the middle of its answer's head and closed, and that clients got a 200 with an empty or short body. That does not happen here, so that nothing is changed.

--- a/node/answer_test.go
+++ b/node/answer_test.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// Guards against an answer whose head breaks off, at any byte, and that callers get as a success with an empty or a short body.
+func TestHeadsThatBreakOffAreNotServed(t *testing.T) {
+	d := newDeployment(t, chainInventory, chainRules)
+	i := d.startInstance("nursery", text(""))
+	const answer = "HTTP/1.1 200 OK\r\nX-Own: a\r\n\r\n"
+	var size atomic.Int64
+	i.serveCalls(func(c net.Conn, _ *fasthttp.Request) bool {
+		_, _ = io.WriteString(c, answer[:size.Load()])
+		return false
+	})
+	for size.Load() < int64(len(answer)) {
+		// Each request has its own path: one that breaks connections several times is quarantined.
+		got := d.exchangeRaw(i.Addresses().Callers, http.MethodGet, fmt.Sprint("/nursery/map", size.Load()))
+		require.Contains(t, got, "\r\nLovagelane-Reason: backend-failed\r\n", "%q", answer[:size.Load()])
+		require.NotContains(t, got, "Own")
+		size.Add(1)
+	}
+}
+
 // Guards against a check that holds back a sound answer, or takes the rest of one for the next.
 func TestAnswersOfAllValidFormsAreServed(t *testing.T) {
 	large := strings.Repeat("x", 300<<10)
