Leave values out of errors about malformed answers

What operators would see: the first 40 bytes of a malformed line in the log, which may be a part of a cookie.

Cause: two errors of package answers quoted the whole line.

Evidence: answers.TestErrorsShowNoValues failed before: "malformed answer: line \"Set-Cookie: secret\\n\" does not end with ...".

Fix: errors quote names, versions and statuses only.

Result: passes.

--- a/answers/head.go
+++ b/answers/head.go
@@ -13,7 +13,7 @@
 const (
 	// maxInterimAnswers is the number of interim answers that are discarded before a final one.
 	maxInterimAnswers = 100
-	// maxQuotedBytes is how much of a malformed line an error shows.
+	// maxQuotedBytes is how much of a malformed name or status an error shows. It shows no values, which may be secret.
 	maxQuotedBytes = 40
 
 	firstStatus, firstFinalStatus, lastStatus = 100, 200, 599
@@ -122,7 +122,7 @@
 	text, ok := bytes.CutSuffix(line, []byte("\r\n"))
 	switch {
 	case !ok:
-		return malformed("line %.*q does not end with a carriage return and a line feed", maxQuotedBytes, line)
+		return malformed("a line does not end with a carriage return and a line feed")
 	case h.status > 0 && len(text) == 0:
 		h.complete = true
 	case h.status > 0:
@@ -157,11 +157,11 @@
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	switch {
 	case !ok:
-		return malformed("field %.*q has no colon", maxQuotedBytes, line)
+		return malformed("a field has no colon")
 	case len(name) == 0 || bytes.ContainsFunc(name, isNotToken):
 		return malformed("field name %.*q is not a token", maxQuotedBytes, name)
 	case bytes.ContainsFunc(value, isControl):
-		return malformed("field %.*s has control bytes in its value", maxQuotedBytes, name)
+		return malformed("field %.*q has control bytes in its value", maxQuotedBytes, name)
 	case h.http10 && strings.EqualFold(string(name), "Transfer-Encoding"):
 		return malformed("an answer of HTTP/1.0 has a transfer coding")
 	}
--- a/answers/head_test.go
+++ b/answers/head_test.go
@@ -74,6 +74,15 @@
 	require.NoError(t, err)
 }
 
+// Guards against a part of a value, such as a cookie, in an error that is logged.
+func TestErrorsShowNoValues(t *testing.T) {
+	for _, line := range []string{"Set-Cookie: secret\n", "secret", "Set-Cookie: secret\x00", "Set-Cookie : secret"} {
+		_, err := await(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n")
+		require.Error(t, err)
+		require.NotContains(t, err.Error(), "secret")
+	}
+}
+
 // Guards against a head that broke off and is taken as a whole one.
 func TestHeadsThatBreakOffAreNotAnswers(t *testing.T) {
 	_, err := await(t, "")
--- a/node/backend.go
+++ b/node/backend.go
@@ -41,7 +41,7 @@
 // newClient returns an HTTP client for one address. It never retries a request by itself, and fails with an
 // answers.MalformedError if the head of the answer is malformed.
 func newClient(address string, connect func(string) (net.Conn, error), idle time.Duration) *fasthttp.HostClient {
-	dial := func(address string) (net.Conn, error) {
+	connectChecked := func(address string) (net.Conn, error) {
 		conn, err := connect(address)
 		if err != nil {
 			return nil, err
@@ -49,7 +49,7 @@
 		return answers.NewConn(conn), nil
 	}
 	return &fasthttp.HostClient{
-		Addr: address, Dial: dial, MaxIdleConnDuration: idle, MaxIdemponentCallAttempts: 1, MaxConns: maxWorkers,
+		Addr: address, Dial: connectChecked, MaxIdleConnDuration: idle, MaxIdemponentCallAttempts: 1, MaxConns: maxWorkers,
 		StreamResponseBody: true, DisablePathNormalizing: true, DisableHeaderNamesNormalizing: false,
 		NoDefaultUserAgentHeader: true, ReadBufferSize: maxHeaderBytes, MaxResponseBodySize: maxBufferedBody,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
