--- a/answers/conn_test.go
+++ b/answers/conn_test.go
@@ -15,8 +15,8 @@
 	"lovagelane/kernel"
 )
 
-// newClient returns an HTTP client whose connections check heads, and the count of its connections. The n-th request on a connection
-// is answered with the n-th text, in parts; behind the last one the connection is closed.
+// newClient returns an HTTP client whose connections check heads. The n-th request on a connection is answered with the n-th text,
+// whose parts, separated by |, arrive one after the other. Behind the last text the connection is closed.
 func newClient(t *testing.T, texts ...string) *fasthttp.HostClient {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
