Keep the row of a leaving backend server while it still runs

What callers saw: a backend server deregistered and its node acknowledged that; while it still ran, the nodes were stopped and started in turn, and a heartbeat from before arrived late. The backend server was used again until it exited.

Cause: a node that stops while its backend server is leaving removed its row in the store, which is the lasting record of the departure. Its next process knew of no departure and took the late heartbeat for the first one.

The new TestDepartureSurvivesPlannedRestartsInTurn failed before the change: 5 runs at the backend server where 0 are due.

Fix: the row is removed at a stop only when nothing listens at the address of the backend server. Where it still runs, the row stays and the next process reads it before it sends anything. This works because the record lasts at least as long as the backend server that it is about.

TestSilentStoreDoesNotDelayPlannedStop asks that a removal which a silent store doesn't answer delays no stop. Its backend server now ends before the stop, since nothing would be removed otherwise; its checks are the same, and its log shows node-not-removed as before.

--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -319,7 +319,15 @@
 	}
 }
 
-// removeOwnRow removes the row of this node, whose backend server is leaving.
+// hasDepartedLocked reports whether the own backend server is leaving, by its announcements or by the row of this node.
+func (n *Node) hasDepartedLocked() bool {
+	_, state := n.tracker.Current()
+	own, known := n.directory.Entry(n.settings.CallsAddress)
+	return state == directory.Leaving || known && !own.Removed && own.Node.State == directory.Leaving
+}
+
+// removeOwnRow removes the row of this node, whose backend server is leaving, unless that still runs: the node may start again
+// beside it, and then only the row tells that it must not be used.
 func (n *Node) removeOwnRow(ctx context.Context) {
 	n.mu.Lock()
 	entry, known := n.directory.Entry(n.settings.CallsAddress)
@@ -327,6 +335,10 @@
 	if !known || entry.Removed {
 		return
 	}
+	if !n.backend.hasEnded() {
+		n.log.Info("node-kept", "id", entry.Node.Backend.ID, "state", entry.Node.State.String())
+		return
+	}
 	_, err := n.store.Write(ctx, nodesTable, Write{Key: n.settings.CallsAddress, Remove: true, Expect: kernel.Some(entry.Version)})
 	if err != nil && !errors.Is(err, ErrConflict) {
 		n.log.Warn("node-not-removed", "error", err)
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -196,6 +196,16 @@
 	return x
 }
 
+// hasEnded reports whether nothing listens at the address of the backend server. A connection that can't be opened for another
+// reason, such as a full queue of new connections, does not tell that.
+func (b *backend) hasEnded() bool {
+	c, err := link.Dial(b.address, backendDialTimeout)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, link.ErrRefused)
+}
+
 // attach sets the connection of a job, so that a cancellation closes it. It reports false if the job is already cancelled.
 func (n *Node) attach(j *job, k *backendConn) bool {
 	n.mu.Lock()
@@ -458,19 +468,14 @@
 }
 
 // checkCrash reports whether the backend server crashed during a call whose connection was lost: it is taken as crashed if
-// nothing listens at its address after crashCheckDelay. A connection that can't be opened for another reason, such as a full
-// queue of new connections, is no crash. After a crash, the calls in flight are recorded as suspects.
+// nothing listens at its address after crashCheckDelay. After a crash, the calls in flight are recorded as suspects.
 func (n *Node) checkCrash(j *job, current directory.Incarnation, x exchangeResult) bool {
 	if j.isCancelled() || x.reason == "backend-server-timeout" {
 		return false
 	}
 	pause := time.NewTimer(crashCheckDelay)
 	<-pause.C
-	c, err := link.Dial(n.backend.address, backendDialTimeout)
-	if err == nil {
-		_ = c.Close()
-	}
-	if !errors.Is(err, link.ErrRefused) {
+	if !n.backend.hasEnded() {
 		return false
 	}
 	n.handleBackendLoss(current, "refused")
--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"lovagelane/directory"
 )
 
 const (
@@ -57,9 +55,9 @@
 	ctx, cancel := context.WithTimeout(n.group.Context(), grace-closeReserve)
 	defer cancel()
 	n.mu.Lock()
-	_, state := n.tracker.Current()
+	departed := n.hasDepartedLocked()
 	n.mu.Unlock()
-	if state == directory.Leaving {
+	if departed {
 		// The times of the stop count from its beginning, also if the store does not answer.
 		n.group.Go("remove-node", func(ctx context.Context) error {
 			ctx, cancel := context.WithTimeout(ctx, departureTimeout)
