Pass departures that the store may lack on to nodes that start

What callers saw: while the store was away, a backend server announced its departure and its node acknowledged that, since another node kept it. When the nodes were stopped and started in turn, the departure was forgotten, and a late heartbeat put the backend server back into use.

Cause: each node loses the departures that it keeps for others with its own restart, and nobody passed them on.

Fix: the greeting between two nodes is followed by the departures that no known row of the store has made needless; the node of the backend server keeps its own among them. Those of the latest starts are kept in whichever order they arrive, so that repetition changes nothing. This works because in a series of restarts some node that holds the departure greets each one that starts.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -88,8 +88,8 @@
 	entries map[string]Entry
 	// reported holds the state that a node reported over a connection after its row was read.
 	reported map[string]Node
-	// pendingDepartures holds, by node address, the departures that this node keeps for other nodes, since the store may not
-	// hold them yet.
+	// pendingDepartures holds, by node address, the departures that this node keeps for itself and for other nodes, since the store may
+	// not hold them yet.
 	pendingDepartures map[string][]Incarnation
 	version           uint64
 }
@@ -223,21 +223,54 @@
 	return h.Sum32()
 }
 
-// AddPendingDeparture stores the departure of another node's backend server, which may not be in the store yet. It keeps the
-// latest maxPendingDepartures of each node.
-func (d *Directory) AddPendingDeparture(address string, b Incarnation) {
+// Departure states that the backend server beside the node at an address is leaving: it takes no new calls, also after a restart of
+// the node.
+type Departure struct {
+	Address string      `cbor:"1,keyasint"`
+	Backend Incarnation `cbor:"2,keyasint"`
+}
+
+// AddPendingDeparture stores the departure of a node's backend server, which may not be in the store yet. It keeps those of the
+// maxPendingDepartures latest starts of each node, in whichever order they are added.
+func (d *Directory) AddPendingDeparture(p Departure) {
+	if len(p.Address) > maxTextBytes || len(p.Backend.ID) > maxTextBytes {
+		return
+	}
 	if d.pendingDepartures == nil {
 		d.pendingDepartures = map[string][]Incarnation{}
 	}
-	list, known := d.pendingDepartures[address]
-	if !known && len(d.pendingDepartures) >= maxNodes || slices.Contains(list, b) {
+	list, known := d.pendingDepartures[p.Address]
+	if !known && len(d.pendingDepartures) >= maxNodes || slices.Contains(list, p.Backend) {
 		return
 	}
-	list = append(list, b)
-	d.pendingDepartures[address] = list[max(0, len(list)-maxPendingDepartures):]
+	list = append(list, p.Backend)
+	slices.SortFunc(list, func(a, b Incarnation) int {
+		return cmp.Or(cmp.Compare(a.StartMillis, b.StartMillis), cmp.Compare(a.ID, b.ID))
+	})
+	d.pendingDepartures[p.Address] = list[max(0, len(list)-maxPendingDepartures):]
 }
 
-// PendingDepartures returns the pending departures of a node, the most recently added last.
+// PendingDepartures returns the pending departures of a node, the latest start last.
 func (d *Directory) PendingDepartures(address string) []Incarnation {
 	return slices.Clone(d.pendingDepartures[address])
 }
+
+// UnstoredDepartures returns the pending departures that no known row of the store has made needless, sorted by address.
+func (d *Directory) UnstoredDepartures() []Departure {
+	var list []Departure
+	for _, address := range slices.Sorted(maps.Keys(d.pendingDepartures)) {
+		for _, b := range d.pendingDepartures[address] {
+			if e, known := d.entries[address]; !known || !e.settles(b) {
+				list = append(list, Departure{Address: address, Backend: b})
+			}
+		}
+	}
+	return list
+}
+
+// settles reports whether the row makes the record of a departure needless: it holds the departure or a later start at its address,
+// or was removed, as by a node whose backend server has ended.
+func (e Entry) settles(b Incarnation) bool {
+	stored := e.Node.Backend
+	return e.Removed || stored.StartMillis > b.StartMillis || stored == b && e.Node.State == Leaving
+}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -116,3 +116,46 @@
 		require.GreaterOrEqual(t, incoming[n.Address], 2, n.Address)
 	}
 }
+
+// Guards against departures that are passed on without end although the store holds them or their backend server has ended, against one
+// that is dropped before, and against nodes that keep different ones because they heard of them in another order.
+func TestPendingDeparturesArePassedOnUntilTheyAreStored(t *testing.T) {
+	departure := func(start int64) directory.Departure {
+		return directory.Departure{Address: "a:1", Backend: directory.Incarnation{ID: "i", StartMillis: start}}
+	}
+	row := func(version uint64, start int64, state directory.State) directory.Entry {
+		e := entry("a", version, "maps")
+		e.Node.Backend, e.Node.State = departure(start).Backend, state
+		return e
+	}
+	var d directory.Directory
+	require.Empty(t, d.UnstoredDepartures())
+	d.AddPendingDeparture(departure(5))
+	require.Equal(t, []directory.Departure{departure(5)}, d.UnstoredDepartures(), "without a row")
+	d.Merge(row(1, 5, directory.Serving))
+	require.Equal(t, []directory.Departure{departure(5)}, d.UnstoredDepartures())
+	d.Merge(row(2, 5, directory.Leaving))
+	require.Empty(t, d.UnstoredDepartures())
+	d.AddPendingDeparture(departure(6))
+	require.Equal(t, []directory.Departure{departure(6)}, d.UnstoredDepartures())
+	d.Merge(row(3, 7, directory.Serving))
+	require.Empty(t, d.UnstoredDepartures())
+	d.AddPendingDeparture(departure(7))
+	require.Len(t, d.UnstoredDepartures(), 1)
+	removed := row(4, 7, directory.Serving)
+	removed.Removed = true
+	d.Merge(removed)
+	require.Empty(t, d.UnstoredDepartures())
+
+	rapid.Check(t, func(t *rapid.T) {
+		added := rapid.SliceOf(rapid.Int64Range(1, 9)).Draw(t, "starts")
+		var one, two directory.Directory
+		for _, start := range added {
+			one.AddPendingDeparture(departure(start))
+		}
+		for _, start := range rapid.Permutation(append(added, added...)).Draw(t, "permuted") {
+			two.AddPendingDeparture(departure(start))
+		}
+		require.Equal(t, one.PendingDepartures("a:1"), two.PendingDepartures("a:1"))
+	})
+}
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -227,14 +227,16 @@
 
 // replicateDeparture sends a departure to other nodes. The channel is closed when the first one confirms that it keeps it.
 func (n *Node) replicateDeparture(b directory.Incarnation) <-chan struct{} {
+	d := directory.Departure{Address: n.settings.CallsAddress, Backend: b}
 	n.mu.Lock()
 	acked, ok := n.departureAcks[b]
 	if !ok {
 		acked = make(chan struct{})
 		n.departureAcks[b] = acked
 	}
+	n.directory.AddPendingDeparture(d) // For nodes that connect later.
 	n.mu.Unlock()
-	n.transport.Broadcast(encode(gossipMessage{KeepDeparture: &departure{Address: n.settings.CallsAddress, Backend: b}}))
+	n.transport.Broadcast(encode(gossipMessage{KeepDeparture: &d}))
 	return acked
 }
 
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -17,8 +17,8 @@
 	return encode(helloMessage{Node: n.selfLocked(), Versions: n.versionsLocked()})
 }
 
-// HandleHello implements link.Handler. It returns a kept departure to the node that it belongs to and pulls newer state at once,
-// so that a node that has just started recovers from its peers.
+// HandleHello implements link.Handler. It returns a kept departure to the node that it belongs to, passes on the others and pulls newer
+// state at once, so that a node that has just started recovers from its peers.
 func (n *Node) HandleHello(b []byte, reply func([]byte)) {
 	var hello helloMessage
 	if err := decode(b, &hello); err != nil {
@@ -31,9 +31,13 @@
 	}
 	n.updateNodeLocked(hello.Node)
 	departed := n.directory.PendingDepartures(hello.Node.Address)
+	unstored := n.directory.UnstoredDepartures()
 	n.mu.Unlock()
 	for _, b := range departed {
-		reply(encode(gossipMessage{RecordedDeparture: &departure{Address: hello.Node.Address, Backend: b}}))
+		reply(encode(gossipMessage{RecordedDeparture: &directory.Departure{Address: hello.Node.Address, Backend: b}}))
+	}
+	if len(unstored) > 0 {
+		reply(encode(gossipMessage{Departures: unstored}))
 	}
 	n.pullIfBehind(hello.Versions, reply, 0)
 }
@@ -151,7 +155,7 @@
 	}
 	if m.KeepDeparture != nil {
 		n.mu.Lock()
-		n.directory.AddPendingDeparture(m.KeepDeparture.Address, m.KeepDeparture.Backend)
+		n.directory.AddPendingDeparture(*m.KeepDeparture)
 		n.mu.Unlock()
 		reply(encode(gossipMessage{DepartureKept: m.KeepDeparture}))
 	}
@@ -164,6 +168,13 @@
 		n.setDepartedLocked(m.RecordedDeparture.Backend)
 		n.mu.Unlock()
 	}
+	if len(m.Departures) > 0 {
+		n.mu.Lock()
+		for _, d := range m.Departures {
+			n.directory.AddPendingDeparture(d)
+		}
+		n.mu.Unlock()
+	}
 	if m.Node != nil {
 		n.mu.Lock()
 		n.updateNodeLocked(*m.Node)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -156,10 +156,10 @@
 	// PullSince requests all state that is newer than these versions.
 	PullSince *versions `cbor:"4,keyasint,omitempty"`
 	// KeepDeparture asks the receiver to keep a departure that may not be in the store yet; DepartureKept confirms it.
-	KeepDeparture *departure `cbor:"5,keyasint,omitempty"`
-	DepartureKept *departure `cbor:"6,keyasint,omitempty"`
+	KeepDeparture *directory.Departure `cbor:"5,keyasint,omitempty"`
+	DepartureKept *directory.Departure `cbor:"6,keyasint,omitempty"`
 	// RecordedDeparture returns a kept departure to its node after a restart of that node.
-	RecordedDeparture *departure `cbor:"7,keyasint,omitempty"`
+	RecordedDeparture *directory.Departure `cbor:"7,keyasint,omitempty"`
 	// Crashes are reports on requests that were in flight when a backend server crashed.
 	Crashes []quarantine.Report `cbor:"8,keyasint,omitempty"`
 	// Node is the current directory record of the sender, sent after a change.
@@ -168,13 +168,8 @@
 	DirectoryVersion uint64 `cbor:"10,keyasint,omitempty"`
 	// Allowance asks for or grants tokens of quotas.
 	Allowance *allowance.Message `cbor:"11,keyasint,omitempty"`
-}
-
-// departure records that the backend server beside a node is leaving: it takes no new calls, also after a restart of the
-// node.
-type departure struct {
-	Address string                `cbor:"1,keyasint"`
-	Backend directory.Incarnation `cbor:"2,keyasint"`
+	// Departures are the departures that the sender keeps and that may not be in the store yet. They are sent when a connection opens.
+	Departures []directory.Departure `cbor:"12,keyasint,omitempty"`
 }
 
 // encode returns a message as CBOR. It panics on an error, since all message types can be encoded.
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -217,6 +217,7 @@
 // setDepartedLocked applies a recorded departure of the own backend server.
 func (n *Node) setDepartedLocked(b directory.Incarnation) {
 	n.recovery.recordedDeparture = b
+	n.directory.AddPendingDeparture(directory.Departure{Address: n.settings.CallsAddress, Backend: b})
 	if n.tracker.MarkLeaving(b) {
 		n.applyEventsAsync(n.queue.Close())
 	}
