Give nodes that start the records of requests that crash backend servers

What callers saw: a request that crashes each backend server that runs it was refused after two crashes, and crashed two more after each series of planned restarts of the nodes, along with the ordinary requests that ran there.

Cause: crash reports are sent once, to the nodes connected at that moment. A node that starts gets the configuration, the directory and departures from its peers, but no crash reports. Once each node had started after the last crash, none knew the request, though some node was running at every moment.

Fix: greetings and statuses carry a sum of the crash records. Records merge in any order and carry their age and the rest of the quarantine, so that passing them on doesn't make it longer. This works because some node that holds the records greets each one that starts, and it reaches nodes that were cut off during a report as well.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -141,6 +142,38 @@
 	eventually(t, "a node that joins later has both", func() bool { return len(late.crashReports()) == 2 })
 }
 
+// Guards against crash reports that all nodes forget, although some node is running all the time, because each of them has started since
+// the crash (review case 9 on the other interface).
+func TestCrashReportsReachNodesThatStartInTurn(t *testing.T) {
+	store := newMemoryStore()
+	nodes := startNodes(t, 3, store)
+	eventually(t, "all nodes see each other", allSee(nodes, len(nodes)))
+	report := quarantine.Report{Digest: 7, Crash: "n00-1"}
+	nodes[0].FloodCrashes([]quarantine.Report{report})
+	for i := range nodes {
+		eventually(t, "the report reaches the other nodes", func() bool {
+			for j, n := range nodes {
+				// The node that reported the crash isn't told of it until it has started again.
+				if j != i && (j > 0 || i > 0) && !slices.Contains(n.crashReports(), report) {
+					return false
+				}
+			}
+			return true
+		})
+		require.NoError(t, nodes[i].Stop())
+		var seeds []string
+		for j, n := range nodes {
+			if j != i {
+				seeds = append(seeds, n.Address())
+			}
+		}
+		nodes[i] = startNode(t, nodeOptions{id: fmt.Sprintf("m%02d", i), region: "rn", seeds: seeds, store: store})
+		eventually(t, "the report reaches the node that has started", func() bool {
+			return slices.Contains(nodes[i].crashReports(), report)
+		})
+	}
+}
+
 // Guards against rows of dead nodes that count as live members or are never deleted, and against a node that stops and leaves
 // its row in the store.
 func TestExpiredRowsAreIgnoredAndDeleted(t *testing.T) {
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lovagelane/directory"
+	"lovagelane/quarantine"
 )
 
 // FuzzDecode feeds arbitrary bytes to the decoders of messages of other nodes: they are rejected, or within the bounds that the
@@ -18,6 +19,8 @@
 	f.Add(encode(answerMessage{RanMicros: -1, Load: loadReport{WaitMS: 1 << 62}}))
 	f.Add(encode(answerMessage{Load: loadReport{RunMicros: math.MaxInt64}}))
 	f.Add(encode(gossipMessage{Rows: []directory.Entry{{Node: directory.Node{Address: "10.0.0.1:80"}}}}))
+	f.Add(encode(gossipMessage{CrashTable: &crashTable{Sum: 1, Snapshot: quarantine.Snapshot{Crashes: []string{"a-1"},
+		Records: []quarantine.Record{{Digest: 7, Uncleared: []uint16{0, 1}}}}}}))
 	f.Add(encode(helloMessage{}))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var call callMessage
@@ -37,7 +40,11 @@
 			require.NotEmpty(t, node.State.String())
 		}
 		require.NotPanics(t, func() {
-			_ = decode(b, &gossipMessage{})
+			var m gossipMessage
+			if decode(b, &m) == nil && m.CrashTable != nil {
+				var table quarantine.Table
+				table.MergeSnapshot(time.Unix(1e6, 0), m.CrashTable.Snapshot)
+			}
 			_ = decode(b, &helloMessage{})
 			_ = decode(b, &versions{})
 		})
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -40,6 +40,7 @@
 		reply(encode(gossipMessage{Departures: unstored}))
 	}
 	n.pullIfBehind(hello.Versions, reply, 0)
+	n.pullCrashes(hello.Versions.CrashesSum, reply, 0)
 }
 
 // updateNodeLocked applies the directory record that another node sent of itself. A record in state Absent is ignored: a node
@@ -64,7 +65,7 @@
 }
 
 func (n *Node) versionsLocked() versions {
-	v := versions{DirectoryVersion: n.directory.Version()}
+	v := versions{DirectoryVersion: n.directory.Version(), CrashesSum: n.quarantine.Sum(n.clock.Now())}
 	if cfg := n.config.Load(); cfg != nil {
 		v.ConfigVersion = cfg.Version()
 	}
@@ -79,6 +80,7 @@
 		return
 	}
 	n.pullIfBehind(theirs, reply, storeGrace)
+	n.pullCrashes(theirs.CrashesSum, reply, crashSettleTime)
 }
 
 // pullIfBehind pulls newer state from another node once this node has been behind it for at least the grace period. A newer
@@ -187,6 +189,12 @@
 		}
 		n.mu.Unlock()
 	}
+	if m.PullCrashes {
+		n.sendCrashes(reply)
+	}
+	if m.CrashTable != nil {
+		n.mergeCrashes(*m.CrashTable)
+	}
 }
 
 // sendUpdates sends the rows and the configuration that are newer than the versions of the other node.
@@ -215,10 +223,3 @@
 		}
 	}
 }
-
-// isQuarantined reports whether requests with this digest are quarantined for crashing backend servers.
-func (n *Node) isQuarantined(digest uint64) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.quarantine.Refuses(n.clock.Now(), digest, 0)
-}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -143,6 +143,8 @@
 type versions struct {
 	ConfigVersion    uint64 `cbor:"1,keyasint,omitempty"`
 	DirectoryVersion uint64 `cbor:"2,keyasint,omitempty"`
+	// CrashesSum is the sum of the crash records. Sums have no order: nodes whose sums differ pull from each other.
+	CrashesSum uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // gossipMessage carries state between nodes. All fields are optional.
@@ -170,6 +172,9 @@
 	Allowance *allowance.Message `cbor:"11,keyasint,omitempty"`
 	// Departures are the departures that the sender keeps and that may not be in the store yet. They are sent when a connection opens.
 	Departures []directory.Departure `cbor:"12,keyasint,omitempty"`
+	// PullCrashes asks for all crash records of the receiver, which CrashTable returns.
+	PullCrashes bool        `cbor:"13,keyasint,omitempty"`
+	CrashTable  *crashTable `cbor:"14,keyasint,omitempty"`
 }
 
 // encode returns a message as CBOR. It panics on an error, since all message types can be encoded.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -131,8 +131,10 @@
 	splits       routing.TrafficSplitter
 	retryBudgets retry.WindowBudgets
 	quarantine   quarantine.Table
-	chains       *chains
-	recovery     recovery
+	// crashPulls holds, by their sum, the crash records of other nodes that differed from those of this node.
+	crashPulls *kernel.LRU[uint64, crashPull]
+	chains     *chains
+	recovery   recovery
 	// configLag and directoryLag record how long this node has been behind another one.
 	configLag, directoryLag lag
 	// answerSizes holds, by route, the size of its recent large answers.
@@ -185,7 +187,8 @@
 	}
 	n := &Node{settings: o.Settings, clock: o.Clock, log: o.Log, metrics: event.NewMetrics(), deployment: deployment,
 		store: deployment.Store(), jobs: map[uint64]*job{}, departureAcks: map[directory.Incarnation]chan struct{}{},
-		malformedRows: kernel.NewLRU[string, uint64](maxMalformedRows), stopStarted: make(chan struct{})}
+		malformedRows: kernel.NewLRU[string, uint64](maxMalformedRows),
+		crashPulls:    kernel.NewLRU[uint64, crashPull](maxCrashPulls), stopStarted: make(chan struct{})}
 	if n.clock == nil {
 		n.clock = kernel.SystemClock{}
 	}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -50,9 +50,27 @@
 	return e.uncleared >= MaxCrashes && now.Before(e.quarantinedUntil)
 }
 
+// moment holds the times of an entry, as of a report.
+type moment struct{ lastEvent, quarantinedUntil time.Time }
+
+// advance moves the times of the entry forward to those of a report.
+func (e *entry) advance(m moment) {
+	if e.lastEvent.Before(m.lastEvent) {
+		e.lastEvent = m.lastEvent
+	}
+	if e.quarantinedUntil.Before(m.quarantinedUntil) {
+		e.quarantinedUntil = m.quarantinedUntil
+	}
+}
+
 // Table counts crashes by request digest. Its zero value is empty. The caller serializes access to it.
 type Table struct {
 	entries map[uint64]*entry
+	// sum is the result of Sum, if summed is set.
+	sum    uint64
+	summed bool
+	// nextExpiry is when the first entry may expire.
+	nextExpiry time.Time
 }
 
 // Refuses reports whether a call with the digest must be refused; crashes is the count received with the call. A refused send
@@ -88,6 +106,7 @@
 	for i, c := range e.crashes {
 		if !c.cleared {
 			e.crashes[i].cleared = true
+			t.summed = false
 			reports = append(reports, Report{Digest: digest, Crash: c.id, Cleared: true})
 		}
 	}
@@ -99,12 +118,21 @@
 // so that reports give the same counts in any order and when repeated. A good answer clears only the crashes that are known
 // to the node that received it.
 func (t *Table) Merge(now time.Time, r Report) bool {
+	seen := moment{lastEvent: now}
+	if !r.Cleared {
+		seen.quarantinedUntil = now.Add(Period)
+	}
+	return t.merge(now, r, seen)
+}
+
+// merge adds a report that was made at another moment.
+func (t *Table) merge(now time.Time, r Report, seen moment) bool {
 	if r.Crash == "" || len(r.Crash) > maxCrashIDBytes {
 		return false
 	}
 	e := t.lookup(now, r.Digest)
 	if e == nil {
-		e = t.add(now, r.Digest)
+		e = t.add(r.Digest, seen.lastEvent)
 	}
 	i := slices.IndexFunc(e.crashes, func(c crash) bool { return c.id == r.Crash })
 	switch {
@@ -112,17 +140,17 @@
 		return false
 	case i < 0:
 		e.crashes = append(e.crashes, crash{id: r.Crash, cleared: r.Cleared})
+		if !r.Cleared {
+			e.uncleared++
+		}
 	case e.crashes[i].cleared || !r.Cleared:
 		return false
 	default:
 		e.crashes[i].cleared = true
 		e.uncleared--
 	}
-	e.lastEvent = now
-	if !r.Cleared {
-		e.uncleared++
-		e.quarantinedUntil = now.Add(Period)
-	}
+	t.summed = false
+	e.advance(seen)
 	return true
 }
 
@@ -166,19 +194,23 @@
 	e, ok := t.entries[digest]
 	if ok && now.Sub(e.lastEvent) >= CrashTTL {
 		delete(t.entries, digest)
+		t.summed = false
 		return nil
 	}
 	return e
 }
 
-func (t *Table) add(now time.Time, digest uint64) *entry {
+func (t *Table) add(digest uint64, lastEvent time.Time) *entry {
 	if t.entries == nil {
 		t.entries = map[uint64]*entry{}
 	}
 	if len(t.entries) >= MaxDigests {
 		t.evict()
 	}
-	e := &entry{lastEvent: now}
+	if expiry := lastEvent.Add(CrashTTL); len(t.entries) == 0 || expiry.Before(t.nextExpiry) {
+		t.nextExpiry = expiry
+	}
+	e := &entry{lastEvent: lastEvent}
 	t.entries[digest] = e
 	return e
 }
@@ -193,4 +225,5 @@
 		}
 	}
 	delete(t.entries, victim)
+	t.summed = false
 }
