Drop answers whose end a failed write may have hidden

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: a body without a length ends with the connection, and only the error of the socket tells a reset from a regular end. The socket reports it once. The node writes the whole request before it reads the answer, so that the write took the error, and the next read saw an end.

Fix: a connection whose write has failed is remembered, and an answer that ends with it counts as lost (answer-end-unknown): 502, or a repeat where the call may run again. This works because the write is the only other call on the socket that can take the error. Answers with a length or in chunks, and rejections, are taken as before (TestWholeEarlyAnswersAreServed).

--- a/answers/conn_test.go
+++ b/answers/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -116,3 +117,63 @@
 		require.ErrorIs(t, err, fasthttp.ErrConnectionClosed)
 	}
 }
+
+// Guards against a part of an answer that a client takes for the whole one, since it has no length and its connection was reset while
+// the request was still being written. A library that reads on behind a failed write would see an end there.
+func TestConnReportsAnswersThatAreResetDuringTheRequest(t *testing.T) {
+	for name, text := range map[string]string{
+		"no body yet": "HTTP/1.1 200 OK\r\n\r\n",
+		"part":        "HTTP/1.1 200 OK\r\n\r\npart",
+		"large part":  "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("part", 40<<10),
+	} {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/stream=%v", name, stream), func(t *testing.T) {
+				c := newResettingClient(t, text)
+				c.StreamResponseBody = stream
+				req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+				defer fasthttp.ReleaseRequest(req)
+				defer fasthttp.ReleaseResponse(resp)
+				req.Header.SetMethod(fasthttp.MethodPost)
+				req.SetRequestURI("http://" + c.Addr + "/")
+				req.SetBodyRaw(make([]byte, 5<<20))
+				err := c.DoTimeout(req, resp, 5*time.Second)
+				if stream && err == nil {
+					_, err = io.Copy(io.Discard, resp.BodyStream())
+				}
+				require.Error(t, err)
+			})
+		}
+	}
+}
+
+// newResettingClient returns an HTTP client whose connections check heads. Its requests are answered with a text once they begin, and
+// their connections are reset then.
+func newResettingClient(t *testing.T, text string) *fasthttp.HostClient {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	g := kernel.NewGroup(t.Context())
+	g.Go("accept", func(context.Context) error {
+		for {
+			c, err := ln.(*net.TCPListener).AcceptTCP()
+			if err != nil {
+				return nil
+			}
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = io.WriteString(c, text)
+			time.Sleep(100 * time.Millisecond) // The client has read nothing yet and fills the buffers.
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}
+	})
+	return &fasthttp.HostClient{Addr: ln.Addr().String(), MaxIdemponentCallAttempts: 1,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Dial: func(address string) (net.Conn, error) {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			return answers.NewConn(c), nil
+		}}
+}
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -52,6 +52,9 @@
 	idle []*backendConn
 }
 
+// endsWithConnection is what a parsed head states as the content length of an answer that ends with its connection.
+const endsWithConnection = -2
+
 // backendConn is a connection to the own backend server. It carries one call at a time.
 type backendConn struct {
 	c        net.Conn
@@ -59,6 +62,9 @@
 	lastUsed time.Time
 	// idleTimeout is how long the connection may be idle.
 	idleTimeout time.Duration
+	// writeFailed is set once a write has failed. It may have taken the news of a reset from the socket, whose next read then sees a
+	// regular end.
+	writeFailed bool
 	closeOnce   sync.Once
 }
 
@@ -220,8 +226,9 @@
 		k.close()
 		return exchangeResult{outcome: outcomeLost, reason: "connection-closed", connectionLost: true}
 	}
-	// A backend server may answer and close before it has read the whole body. Its answer is valid despite the write error.
-	writeErr := k.writeRequest(h.Header(), j.m.Body)
+	// A backend server may answer and close before it has read the whole body. Its answer is valid despite the write error, if its end
+	// is known.
+	k.writeFailed = k.writeRequest(h.Header(), j.m.Body) != nil
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	resp.StreamBody, resp.SkipBody = true, h.IsHead()
@@ -234,7 +241,7 @@
 		meta := b.n.deployment.ReadAnswer(&resp.Header)
 		// Only the first answer on a new connection can be told, without an id, from a late one to an earlier request.
 		if meta.ID == j.m.RequestID || meta.ID == "" && !reused && skipped == 0 {
-			if writeErr != nil {
+			if k.writeFailed {
 				resp.SetConnectionClose()
 			}
 			return b.readAnswer(j, k, resp, meta)
@@ -430,6 +437,10 @@
 		return exchangeResult{outcome: outcomeRejected, reason: "backend-server", status: resp.StatusCode()}
 	}
 	h, hasBody := headerBeforeBody(resp), resp.BodyStream() != nil
+	if hasBody && k.writeFailed && resp.Header.ContentLength() == endsWithConnection {
+		k.close()
+		return exchangeResult{outcome: outcomeLost, reason: "answer-end-unknown", connectionLost: true}
+	}
 	body, reserved, err := b.readBody(j, resp)
 	if err != nil {
 		k.close()
--- a/node/answer_test.go
+++ b/node/answer_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +14,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+
+	"lovagelane/kernel"
 )
 
 // exchangeRaw sends a request on a connection of its own and returns all bytes of the answer, which a parser could mend.
@@ -136,3 +140,45 @@
 	d.eventually("three health checks", func() bool { return checks.Load() >= 3 })
 	require.False(t, i.Status().BackendServerUp)
 }
+
+// Guards against a part of an answer that callers get as the whole one, since it has no length and its connection was reset while the
+// upload was still being written.
+func TestEarlyAnswerThatIsResetIsNotServed(t *testing.T) {
+	for name, part := range map[string]string{"small": "part", "large": strings.Repeat("part", 50<<10)} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, chainInventory, chainRules)
+			i := d.startInstance("nursery", text(""))
+			i.serveConnections(func(c net.Conn) {
+				r := bufio.NewReader(c)
+				var h fasthttp.RequestHeader
+				for h.Read(r) == nil {
+					if string(h.RequestURI()) == "/health" {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+						continue
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+part)
+					time.Sleep(100 * time.Millisecond)
+					_ = c.(*net.TCPConn).SetLinger(0)
+					return
+				}
+			})
+			d.eventually("serving again", func() bool { return i.Status().BackendServerUp })
+			c, err := net.Dial("tcp", i.Addresses().Callers)
+			require.NoError(t, err)
+			defer func() { _ = c.Close() }()
+			require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
+			const size = 6 << 20
+			kernel.NewGroup(t.Context()).Go("upload", func(context.Context) error {
+				_, _ = fmt.Fprintf(c, "POST /nursery/orders HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", size)
+				_, _ = c.Write(make([]byte, size)) // The node may close before.
+				return nil
+			})
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			if b, err := io.ReadAll(resp.Body); resp.StatusCode == http.StatusOK {
+				require.Error(t, err, "%d bytes of %d", len(b), len(part))
+			}
+		})
+	}
+}
--- a/node/stray_test.go
+++ b/node/stray_test.go
@@ -55,13 +55,7 @@
 // serveRequests replaces the backend server of an instance by one that passes each request to handle, and closes the connection when
 // handle returns false.
 func (i *instance) serveRequests(handle func(c net.Conn, req *fasthttp.Request) bool) {
-	address := i.ln.Addr().String()
-	require.NoError(i.d.t, i.server.Shutdown())
-	ln, err := net.Listen("tcp", address)
-	require.NoError(i.d.t, err)
-	i.d.t.Cleanup(func() { _ = ln.Close() })
-	serve := func(c net.Conn) {
-		defer c.Close()
+	i.serveConnections(func(c net.Conn) {
 		r := bufio.NewReader(c)
 		for {
 			var req fasthttp.Request
@@ -69,7 +63,16 @@
 				return
 			}
 		}
-	}
+	})
+}
+
+// serveConnections replaces the backend server of an instance by one that passes each connection to serve and closes it afterwards.
+func (i *instance) serveConnections(serve func(c net.Conn)) {
+	address := i.ln.Addr().String()
+	require.NoError(i.d.t, i.server.Shutdown())
+	ln, err := net.Listen("tcp", address)
+	require.NoError(i.d.t, err)
+	i.d.t.Cleanup(func() { _ = ln.Close() })
 	group := kernel.NewGroup(i.d.t.Context())
 	group.Go("accept", func(context.Context) error {
 		for {
@@ -77,7 +80,11 @@
 			if err != nil {
 				return nil
 			}
-			group.Go("serve", func(context.Context) error { serve(c); return nil })
+			group.Go("serve", func(context.Context) error {
+				defer func() { _ = c.Close() }()
+				serve(c)
+				return nil
+			})
 		}
 	})
 }
