Test every byte of field names and every status of answers

The new tests go through each status of three digits and each byte at each place of a name. They pass without a change of the product.

--- a/answers/head_test.go
+++ b/answers/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -65,6 +66,43 @@
 	}
 }
 
+// Guards against a byte that a field name may not hold and that one place of a name lets through: each blank, control byte and
+// separator, and each byte beyond ASCII.
+func TestNoOtherByteThanThoseOfATokenIsValidInAFieldName(t *testing.T) {
+	const separators = "\"(),/:;<=>?@[\\]{}"
+	for b := range 256 {
+		c := string([]byte{byte(b)})
+		if b > ' ' && b < 0x7f && !strings.Contains(separators, c) {
+			continue
+		}
+		for _, name := range []string{c + "X-A", "X-" + c + "A", "X-A" + c, c, c + "Content-Length", "Content" + c + "Length", "Content-Length" + c} {
+			if c == ":" && name[0] != ':' {
+				continue // The colon ends a valid name.
+			}
+			head := "HTTP/1.1 200 OK\r\n" + name + ": 5\r\n\r\n"
+			var malformed answers.MalformedError
+			_, err := await(t, head)
+			require.ErrorAs(t, err, &malformed, "%q", head)
+		}
+	}
+}
+
+// Guards against a status that HTTP doesn't have, among all of three digits.
+func TestOnlyStatusesOfHTTPAreValid(t *testing.T) {
+	for status := range 1000 {
+		_, err := await(t, fmt.Sprintf("HTTP/1.1 %03d OK\r\n\r\n", status))
+		var malformed answers.MalformedError
+		switch {
+		case status >= 200 && status <= 599:
+			require.NoError(t, err)
+		case status >= 100 && status < 200 && status != 101:
+			require.ErrorIs(t, err, io.EOF) // An interim answer, without a final one behind it.
+		default:
+			require.ErrorAs(t, err, &malformed, status)
+		}
+	}
+}
+
 // Guards against a body that ends where the connection does, although it has chunks.
 func TestTransferCodingOfHTTP10IsMalformed(t *testing.T) {
 	var malformed answers.MalformedError
