Confirm only departures that are kept

A node that asks another one to keep a departure acknowledges it to its backend server once that is confirmed. The other node confirmed also those that it dropped, for want of room for another node. Found by reading while departures became something to pass on; not seen by callers.

AddPendingDeparture reports whether the departure is kept, and only such ones are confirmed. TestDroppedDepartureIsNotReportedAsKept covers each reason for dropping one; there was nothing to ask for before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -230,24 +230,29 @@
 	Backend Incarnation `cbor:"2,keyasint"`
 }
 
-// AddPendingDeparture stores the departure of a node's backend server, which may not be in the store yet. It keeps those of the
-// maxPendingDepartures latest starts of each node, in whichever order they are added.
-func (d *Directory) AddPendingDeparture(p Departure) {
+// AddPendingDeparture stores the departure of a node's backend server, which may not be in the store yet, and reports whether it is kept.
+// It keeps those of the maxPendingDepartures latest starts of each node, in whichever order they are added.
+func (d *Directory) AddPendingDeparture(p Departure) bool {
 	if len(p.Address) > maxTextBytes || len(p.Backend.ID) > maxTextBytes {
-		return
+		return false
+	}
+	list, known := d.pendingDepartures[p.Address]
+	if slices.Contains(list, p.Backend) {
+		return true
+	}
+	if !known && len(d.pendingDepartures) >= maxNodes {
+		return false
 	}
 	if d.pendingDepartures == nil {
 		d.pendingDepartures = map[string][]Incarnation{}
 	}
-	list, known := d.pendingDepartures[p.Address]
-	if !known && len(d.pendingDepartures) >= maxNodes || slices.Contains(list, p.Backend) {
-		return
-	}
 	list = append(list, p.Backend)
 	slices.SortFunc(list, func(a, b Incarnation) int {
 		return cmp.Or(cmp.Compare(a.StartMillis, b.StartMillis), cmp.Compare(a.ID, b.ID))
 	})
-	d.pendingDepartures[p.Address] = list[max(0, len(list)-maxPendingDepartures):]
+	list = list[max(0, len(list)-maxPendingDepartures):]
+	d.pendingDepartures[p.Address] = list
+	return slices.Contains(list, p.Backend)
 }
 
 // PendingDepartures returns the pending departures of a node, the latest start last.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -159,3 +159,22 @@
 		require.Equal(t, one.PendingDepartures("a:1"), two.PendingDepartures("a:1"))
 	})
 }
+
+// Guards against a departure that is confirmed to its node although it isn't kept.
+func TestDroppedDepartureIsNotReportedAsKept(t *testing.T) {
+	departure := func(address, id string, start int64) directory.Departure {
+		return directory.Departure{Address: address, Backend: directory.Incarnation{ID: id, StartMillis: start}}
+	}
+	var d directory.Directory
+	for start := int64(5); start < 9; start++ {
+		require.True(t, d.AddPendingDeparture(departure("a:1", "i", start)))
+	}
+	require.True(t, d.AddPendingDeparture(departure("a:1", "i", 6)), "it is kept already")
+	require.False(t, d.AddPendingDeparture(departure("a:1", "i", 4)), "those of four later starts are kept")
+	require.False(t, d.AddPendingDeparture(departure("a:1", strings.Repeat("i", 201), 10)))
+	require.False(t, d.AddPendingDeparture(departure(strings.Repeat("a", 201), "i", 10)))
+	for i := range 4095 {
+		require.True(t, d.AddPendingDeparture(departure(fmt.Sprint("b:", i), "i", 1)))
+	}
+	require.False(t, d.AddPendingDeparture(departure("c:1", "i", 1)), "too many nodes")
+}
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -157,9 +157,11 @@
 	}
 	if m.KeepDeparture != nil {
 		n.mu.Lock()
-		n.directory.AddPendingDeparture(*m.KeepDeparture)
+		kept := n.directory.AddPendingDeparture(*m.KeepDeparture)
 		n.mu.Unlock()
-		reply(encode(gossipMessage{DepartureKept: m.KeepDeparture}))
+		if kept {
+			reply(encode(gossipMessage{DepartureKept: m.KeepDeparture}))
+		}
 	}
 	if m.DepartureKept != nil {
 		n.confirmDeparture(m.DepartureKept.Backend)
