--- a/answers/conn_test.go
+++ b/answers/conn_test.go
@@ -45,6 +45,11 @@
 			g.Go("serve", func(context.Context) error { serve(c); return nil })
 		}
 	})
+	return newClientOf(ln)
+}
+
+// newClientOf returns an HTTP client of a listener, with one connection at a time, that checks heads.
+func newClientOf(ln net.Listener) *fasthttp.HostClient {
 	return &fasthttp.HostClient{Addr: ln.Addr().String(), MaxConns: 1, MaxIdemponentCallAttempts: 1,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		Dial: func(address string) (net.Conn, error) {
@@ -167,13 +172,5 @@
 			_ = c.Close()
 		}
 	})
-	return &fasthttp.HostClient{Addr: ln.Addr().String(), MaxIdemponentCallAttempts: 1,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial: func(address string) (net.Conn, error) {
-			c, err := net.Dial("tcp", address)
-			if err != nil {
-				return nil, err
-			}
-			return answers.NewConn(c), nil
-		}}
+	return newClientOf(ln)
 }
