--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -50,7 +50,7 @@
 	return e.uncleared >= MaxCrashes && now.Before(e.quarantinedUntil)
 }
 
-// moment holds the times of an entry, as of a report.
+// moment holds the times that an entry takes over from a report where they are later than its own.
 type moment struct{ lastEvent, quarantinedUntil time.Time }
 
 // advance moves the times of the entry forward to those of a report.
