Log what nodes read from the store, with its era and version

The logs could not tell a configuration that was never delivered from one that was read and not used, and neither from a feed without an answer: answers left no line, and no line had the position of the store.

The client now returns the store's era beside its version. A node logs when the store answers again, which row it read and why it did not use it, and has gauges of the store's position and of the age of its last answer. No decision depends on the era yet.

--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -129,12 +129,12 @@
 		return false
 	}
 	self.State, self.Backend = directory.Leaving, b
-	version, err := n.store.Write(ctx, nodesTable, Write{Key: self.Address, Value: encode(self), Expect: kernel.Some[uint64](0)})
+	at, err := n.store.Write(ctx, nodesTable, Write{Key: self.Address, Value: encode(self), Expect: kernel.Some[uint64](0)})
 	if err != nil {
 		n.log.Warn("node-not-written", "expected", 0, "error", err)
 		return false
 	}
-	n.mergeRows([]directory.Entry{{Node: self, Version: version}})
+	n.mergeRows([]directory.Entry{{Node: self, Version: at.Version}})
 	return true
 }
 
@@ -264,10 +264,10 @@
 		if known && !entry.Removed {
 			expected = entry.Version
 		}
-		version, err := n.store.Write(ctx, nodesTable, Write{Key: self.Address, Value: encode(self), Expect: kernel.Some(expected)})
+		at, err := n.store.Write(ctx, nodesTable, Write{Key: self.Address, Value: encode(self), Expect: kernel.Some(expected)})
 		if err == nil {
-			n.log.Info("node-written", "state", self.State.String(), "id", self.Backend.ID, "version", version)
-			n.mergeRows([]directory.Entry{{Node: self, Version: version}})
+			n.log.Info("node-written", "state", self.State.String(), "id", self.Backend.ID, "era", at.Era, "version", at.Version)
+			n.mergeRows([]directory.Entry{{Node: self, Version: at.Version}})
 			continue
 		}
 		n.log.Warn("node-not-written", "expected", expected, "error", err)
@@ -310,13 +310,13 @@
 		if !known || entry.Removed {
 			continue
 		}
-		version, err := n.store.Write(ctx, nodesTable, Write{Key: node.Address, Remove: true, Expect: kernel.Some(entry.Version)})
+		at, err := n.store.Write(ctx, nodesTable, Write{Key: node.Address, Remove: true, Expect: kernel.Some(entry.Version)})
 		if err != nil {
 			n.log.Warn("node-not-forgotten", "node", node.Address, "error", err)
 			continue
 		}
 		n.log.Info("node-forgotten", "node", node.Address, "service", node.Service, "silent", unreachableFor)
-		entry.Version, entry.Removed = version, true
+		entry.Version, entry.Removed = at.Version, true
 		n.mergeRows([]directory.Entry{entry})
 	}
 }
--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -122,12 +122,13 @@
 
 // Store is a client of the operators' store: tables of versioned rows with a change feed.
 type Store interface {
-	// Write writes one row of a table and returns the new version of the store.
-	Write(ctx context.Context, table string, w Write) (uint64, error)
-	// List returns all rows of a table and the version of the store at which they were read.
-	List(ctx context.Context, table string) ([]Row, uint64, error)
-	// Feed waits for changes after a version and returns them with the version to pass to the next call.
-	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error)
+	// Write writes one row of a table and returns the new position of the store.
+	Write(ctx context.Context, table string, w Write) (directory.Position, error)
+	// List returns all rows of a table and the position of the store at which they were read.
+	List(ctx context.Context, table string) ([]Row, directory.Position, error)
+	// Feed waits for changes after a version and returns them with the current position of the store. The era is also set with
+	// ErrHistoryGone.
+	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, directory.Position, error)
 	// Close aborts the calls in flight.
 	Close()
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -117,6 +117,8 @@
 	// callCutoff is set in the first phase of Stop: calls of other nodes are accepted only with an earlier deadline.
 	callCutoff atomic.Pointer[time.Time]
 	quotas     quotas
+	// configWatch and directoryWatch follow the tables of the operators' configuration and of the nodes.
+	configWatch, directoryWatch tableWatch
 
 	mu sync.Mutex
 	// configText is the encoded configuration in force, as read from the store. It is sent to other nodes.
@@ -340,6 +342,7 @@
 		if count%idleTrimTicks == 0 {
 			n.backend.closeExpired(n.clock.Now())
 			n.reportMemory()
+			n.reportStore()
 		}
 	}
 }
@@ -418,7 +421,9 @@
 	n.mu.Lock()
 	old := n.config.Load()
 	if old != nil && old.Version() >= cfg.Version() {
+		differs := !bytes.Equal(n.configText, value)
 		n.mu.Unlock()
+		n.log.Info("config-not-newer", "version", cfg.Version(), "in-force", old.Version(), "source", source, "differs", differs)
 		return
 	}
 	n.config.Store(cfg)
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"lovagelane/directory"
@@ -38,47 +39,95 @@
 	recordedDeparture directory.Incarnation
 }
 
+// tableWatch follows a table of the store.
+type tableWatch struct {
+	table string
+	// batchDelay is the longest pause after a change.
+	batchDelay time.Duration
+	// onSnapshot gets all rows of the table, and onChange those that have changed, with the position of the store.
+	onSnapshot, onChange func([]Row, directory.Position)
+
+	// at is the position up to which the table was read.
+	at directory.Position
+	// retryDelay is the next pause after a failed call, and failedSince the time of the first of the last failures in a row.
+	retryDelay  time.Duration
+	failedSince time.Time
+	// answeredAt is when the store last answered a call, or when the node started, in Unix nanoseconds.
+	answeredAt atomic.Int64
+}
+
 // watchTable lists a table and then follows its change feed until ctx ends. It lists the table again when the feed no longer
 // holds the changes since the last read.
-func (n *Node) watchTable(ctx context.Context, table string, batchDelay time.Duration,
-	onSnapshot func([]Row, uint64), onChange func([]Row)) error {
-	delay := minRetryDelay
-	backOff := func(operation string, err error) {
-		n.log.Warn("store-failed", "table", table, "call", operation, "error", err, "pause", delay)
-		n.metrics.Add("store-failures", 1, operation)
-		sleep(ctx, n.rand.Jitter(delay, 0.5))
-		delay = min(maxRetryDelay, 2*delay)
-	}
+func (n *Node) watchTable(ctx context.Context, w *tableWatch) error {
+	w.retryDelay = minRetryDelay
+	w.answeredAt.Store(n.clock.Now().UnixNano())
 	for ctx.Err() == nil {
-		rows, version, err := n.store.List(ctx, table)
+		rows, at, err := n.store.List(ctx, w.table)
 		if err != nil {
-			backOff("list", err)
+			n.backOff(ctx, w, "list", err)
 			continue
 		}
-		delay = minRetryDelay
-		onSnapshot(rows, version)
-		sleep(ctx, n.rand.Jitter(batchDelay, 0.5))
+		w.at = at
+		n.storeAnswered(w, "list", at)
+		w.onSnapshot(rows, at)
+		sleep(ctx, n.rand.Jitter(w.batchDelay, 0.5))
 		for ctx.Err() == nil {
-			rows, next, err := n.store.Feed(ctx, table, version, feedPollTimeout)
+			rows, at, err := n.store.Feed(ctx, w.table, w.at.Version, feedPollTimeout)
 			if errors.Is(err, ErrHistoryGone) {
-				n.log.Info("store-history-gone", "table", table, "after", version)
+				n.log.Info("store-history-gone", "table", w.table, "era", w.at.Era, "after", w.at.Version, "store-era", at.Era)
 				break
 			}
 			if err != nil {
-				backOff("feed", err)
+				n.backOff(ctx, w, "feed", err)
 				continue
 			}
-			delay = minRetryDelay
-			version = max(version, next)
+			n.storeAnswered(w, "feed", at)
+			w.at.Version = max(w.at.Version, at.Version)
 			if len(rows) > 0 {
-				onChange(rows)
-				sleep(ctx, n.rand.Jitter(batchDelay, 0.5))
+				w.onChange(rows, at)
+				sleep(ctx, n.rand.Jitter(w.batchDelay, 0.5))
 			}
 		}
 	}
 	return nil
 }
 
+// backOff logs a failed call and pauses. The pause doubles with each failure in a row.
+func (n *Node) backOff(ctx context.Context, w *tableWatch, call string, err error) {
+	if w.failedSince.IsZero() {
+		w.failedSince = n.clock.Now()
+	}
+	n.log.Warn("store-failed", "table", w.table, "call", call, "error", err, "pause", w.retryDelay)
+	n.metrics.Add("store-failures", 1, call)
+	sleep(ctx, n.rand.Jitter(w.retryDelay, 0.5))
+	w.retryDelay = min(maxRetryDelay, 2*w.retryDelay)
+}
+
+// storeAnswered records an answer of the store with its position.
+func (n *Node) storeAnswered(w *tableWatch, call string, at directory.Position) {
+	now := n.clock.Now()
+	w.answeredAt.Store(now.UnixNano())
+	w.retryDelay = minRetryDelay
+	n.metrics.Set("store-era", int64(at.Era))
+	n.metrics.Set("store-version", int64(at.Version), w.table)
+	if w.failedSince.IsZero() {
+		return
+	}
+	n.log.Info("store-available", "table", w.table, "call", call, "failed-for", now.Sub(w.failedSince), "era", at.Era, "version", at.Version,
+		"after", w.at.Version)
+	w.failedSince = time.Time{}
+}
+
+// reportStore updates the gauges of how long the store has not answered.
+func (n *Node) reportStore() {
+	now := n.clock.Now()
+	for _, w := range []*tableWatch{&n.configWatch, &n.directoryWatch} {
+		if answered := w.answeredAt.Load(); answered > 0 {
+			n.metrics.Set("store-answer-age-ms", now.Sub(time.Unix(0, answered)).Milliseconds(), w.table)
+		}
+	}
+}
+
 // sleep waits for a duration or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
@@ -95,43 +144,47 @@
 // syncConfig watches the operators' configuration in the store and applies it.
 func (n *Node) syncConfig(ctx context.Context) error {
 	table, key := n.deployment.ConfigRow()
-	applyRows := func(rows []Row) {
+	applyRows := func(rows []Row, at directory.Position) {
 		for _, row := range rows {
 			switch {
 			case row.Key != key || row.Removed:
 			case row.Err != nil:
 				n.log.Error("config-refused", "source", "store", "error", row.Err)
 			default:
+				n.log.Info("config-read", "era", at.Era, "row-version", row.Version)
 				n.applyConfig(row.Value, "store")
 			}
 		}
 	}
-	return n.watchTable(ctx, table, 0, func(rows []Row, _ uint64) { applyRows(rows) }, applyRows)
+	n.configWatch.table, n.configWatch.onSnapshot, n.configWatch.onChange = table, applyRows, applyRows
+	return n.watchTable(ctx, &n.configWatch)
 }
 
 // syncDirectory watches the table of nodes in the store and updates the directory.
 func (n *Node) syncDirectory(ctx context.Context) error {
-	return n.watchTable(ctx, nodesTable, directoryBatchDelay, n.replaceDirectory,
-		func(rows []Row) {
-			entries, _ := n.entriesOf(rows)
-			n.mergeRows(entries)
-		})
+	w := &n.directoryWatch
+	w.table, w.batchDelay, w.onSnapshot = nodesTable, directoryBatchDelay, n.replaceDirectory
+	w.onChange = func(rows []Row, _ directory.Position) {
+		entries, _ := n.entriesOf(rows)
+		n.mergeRows(entries)
+	}
+	return n.watchTable(ctx, w)
 }
 
 // readDirectory reads the whole table of nodes.
 func (n *Node) readDirectory(ctx context.Context) error {
-	rows, version, err := n.store.List(ctx, nodesTable)
+	rows, at, err := n.store.List(ctx, nodesTable)
 	if err != nil {
 		return err
 	}
-	n.replaceDirectory(rows, version)
+	n.replaceDirectory(rows, at)
 	return nil
 }
 
-func (n *Node) replaceDirectory(rows []Row, version uint64) {
+func (n *Node) replaceDirectory(rows []Row, at directory.Position) {
 	entries, malformed := n.entriesOf(rows)
 	n.mu.Lock()
-	n.directory.Replace(entries, malformed, version)
+	n.directory.Replace(entries, malformed, at.Version)
 	n.recovery.directoryRead = true
 	n.mu.Unlock()
 	n.handleDirectoryChange()
