Read tables again when the store comes back from an older copy

Cause: a node remembers how far it has read a table as a version alone. A store that comes back from a copy some seconds old gives versions out again, so that the remembered one belongs to other changes than before. The feed goes on behind it without an error, and what the store wrote at a lower version of its new history is never delivered.

TestConfigurationIsInForceAfterStoreComesBackOlder failed before: 'node 0 does not serve the route three: the store came back older', 10 s after the return; the log shows the position (era 0, version 10) and the store at (era 1, version 16).

A position is now an era and a version. An answer of another era is not used; the table is listed again. Since a feed says nothing until there is a change, the first question after a failed call does not wait.

--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -127,7 +127,7 @@
 	// List returns all rows of a table and the position of the store at which they were read.
 	List(ctx context.Context, table string) ([]Row, directory.Position, error)
 	// Feed waits for changes after a version and returns them with the current position of the store. The era is also set with
-	// ErrHistoryGone.
+	// ErrHistoryGone. In another era than that of the version, the changes are not those that the caller lacks.
 	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, directory.Position, error)
 	// Close aborts the calls in flight.
 	Close()
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -57,7 +57,7 @@
 }
 
 // watchTable lists a table and then follows its change feed until ctx ends. It lists the table again when the feed no longer
-// holds the changes since the last read.
+// holds the changes since the last read, or is of another era.
 func (n *Node) watchTable(ctx context.Context, w *tableWatch) error {
 	w.retryDelay = minRetryDelay
 	w.answeredAt.Store(n.clock.Now().UnixNano())
@@ -72,16 +72,23 @@
 		w.onSnapshot(rows, at)
 		sleep(ctx, n.rand.Jitter(w.batchDelay, 0.5))
 		for ctx.Err() == nil {
-			rows, at, err := n.store.Feed(ctx, w.table, w.at.Version, feedPollTimeout)
-			if errors.Is(err, ErrHistoryGone) {
-				n.log.Info("store-history-gone", "table", w.table, "era", w.at.Era, "after", w.at.Version, "store-era", at.Era)
-				break
+			wait := feedPollTimeout
+			if !w.failedSince.IsZero() {
+				// The store may have come back in another era, and only an answer tells.
+				wait = 0
 			}
-			if err != nil {
+			rows, at, err := n.store.Feed(ctx, w.table, w.at.Version, wait)
+			gone := errors.Is(err, ErrHistoryGone)
+			if err != nil && !gone {
 				n.backOff(ctx, w, "feed", err)
 				continue
 			}
 			n.storeAnswered(w, "feed", at)
+			if gone || at.Era != w.at.Era {
+				// Versions of another era don't tell which changes this node lacks.
+				n.log.Info("store-history-gone", "table", w.table, "era", w.at.Era, "after", w.at.Version, "store-era", at.Era)
+				break
+			}
 			w.at.Version = max(w.at.Version, at.Version)
 			if len(rows) > 0 {
 				w.onChange(rows, at)
@@ -109,7 +116,9 @@
 	w.answeredAt.Store(now.UnixNano())
 	w.retryDelay = minRetryDelay
 	n.metrics.Set("store-era", int64(at.Era))
-	n.metrics.Set("store-version", int64(at.Version), w.table)
+	if at.Version > 0 { // An answer without the history that was asked for states no version.
+		n.metrics.Set("store-version", int64(at.Version), w.table)
+	}
 	if w.failedSince.IsZero() {
 		return
 	}
