Compare rows of nodes by the era and the version of the store

Cause: rows of nodes, the versions that nodes exchange and the conditions of writes are compared by version alone. A version that is given out again is lower than the one remembered, so that the new row is ignored and the condition of the next write never holds.

Entries have the era beside the version, and positions of the store are compared by era first. A node that learns of a later era, from the store or from another node, writes its row again with what it knows, a departure included. Nodes whose rows are missing count as there for 10 s meanwhile. Departures that nodes hold are passed on again until a row of the current era has them. Messages have the era in new optional fields.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -77,10 +77,20 @@
 // Entry is a node as recorded in a row of the store.
 type Entry struct {
 	Node Node `cbor:"1,keyasint"`
-	// Version is the store's version of the row; the entry with the higher version wins.
+	// Version is the store's version of the row, in the era Era; the entry with the later position wins.
 	Version uint64 `cbor:"2,keyasint"`
 	// Removed marks a tombstone: the row was removed from the store.
-	Removed bool `cbor:"3,keyasint,omitempty"`
+	Removed bool   `cbor:"3,keyasint,omitempty"`
+	Era     uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Position returns the position of the store at which the row was written.
+func (e Entry) Position() Position { return Position{Era: e.Era, Version: e.Version} }
+
+// WithPosition returns the entry with another position.
+func (e Entry) WithPosition(p Position) Entry {
+	e.Era, e.Version = p.Era, p.Version
+	return e
 }
 
 // Directory holds the known nodes. The caller must serialize access to it. The zero value is an empty directory.
@@ -91,7 +101,7 @@
 	// pendingDepartures holds, by node address, the departures that this node keeps for itself and for other nodes, since the store may
 	// not hold them yet.
 	pendingDepartures map[string][]Incarnation
-	version           uint64
+	position          Position
 }
 
 // Merge adds a row from the store or from another node and reports whether the directory changed. It ignores invalid and
@@ -101,7 +111,7 @@
 		return false
 	}
 	old, known := d.entries[e.Node.Address]
-	if known && old.Version >= e.Version || !known && len(d.entries) >= maxNodes {
+	if known && old.Position().Compare(e.Position()) >= 0 || !known && len(d.entries) >= maxNodes {
 		return false
 	}
 	if d.entries == nil {
@@ -109,13 +119,14 @@
 	}
 	d.entries[e.Node.Address] = e
 	delete(d.reported, e.Node.Address)
-	d.version = max(d.version, e.Version)
+	d.AdvancePosition(e.Position())
 	return true
 }
 
-// Replace merges a complete list of rows as of a version. Entries up to that version that the list lacks become tombstones,
-// except those of the kept addresses, whose rows can't be read.
-func (d *Directory) Replace(list []Entry, kept []string, version uint64) {
+// Replace merges a complete list of rows as of a position. Entries up to that position that the list lacks become tombstones,
+// except those of the kept addresses, whose rows can't be read, and, if keepEarlier is set, those of earlier eras, whose nodes may
+// not have written their rows again yet.
+func (d *Directory) Replace(list []Entry, kept []string, at Position, keepEarlier bool) {
 	listed := make(map[string]bool, len(list)+len(kept))
 	for _, address := range kept {
 		listed[address] = true
@@ -125,13 +136,20 @@
 		d.Merge(e)
 	}
 	for address, e := range d.entries {
-		if !listed[address] && !e.Removed && e.Version <= version {
-			e.Version, e.Removed = version, true
-			d.entries[address] = e
-			delete(d.reported, address)
+		if listed[address] || e.Removed || e.Position().Compare(at) > 0 || keepEarlier && e.Era < at.Era {
+			continue
 		}
+		e.Removed = true
+		d.entries[address] = e.WithPosition(at)
+		delete(d.reported, address)
 	}
-	d.version = max(d.version, version)
+	d.AdvancePosition(at)
+}
+
+// Forget removes the entry of a node.
+func (d *Directory) Forget(address string) {
+	delete(d.entries, address)
+	delete(d.reported, address)
 }
 
 // MergeReport records the state that a node reported over a connection, which is newer than its row, and reports whether it
@@ -161,21 +179,25 @@
 	return e, ok
 }
 
-// AdvanceVersion records that another node, which has merged all rows up to a version, sent those that this one lacked.
-func (d *Directory) AdvanceVersion(version uint64) { d.version = max(d.version, version) }
+// AdvancePosition records that all rows up to a position are merged, as when another node that has them sent those that this one lacked.
+func (d *Directory) AdvancePosition(p Position) {
+	if d.position.Compare(p) < 0 {
+		d.position = p
+	}
+}
 
-// Version returns the highest store version that the directory has merged.
-func (d *Directory) Version() uint64 { return d.version }
+// Position returns the latest position of the store that the directory has merged.
+func (d *Directory) Position() Position { return d.position }
 
-// Since returns the rows newer than a version in order of their versions, tombstones included.
-func (d *Directory) Since(version uint64) []Entry {
+// Since returns the rows after a position in order of their positions, tombstones included.
+func (d *Directory) Since(p Position) []Entry {
 	var list []Entry
 	for _, e := range d.entries {
-		if e.Version > version {
+		if e.Position().Compare(p) > 0 {
 			list = append(list, e)
 		}
 	}
-	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(list, func(a, b Entry) int { return a.Position().Compare(b.Position()) })
 	return list
 }
 
@@ -265,7 +287,7 @@
 	var list []Departure
 	for _, address := range slices.Sorted(maps.Keys(d.pendingDepartures)) {
 		for _, b := range d.pendingDepartures[address] {
-			if e, known := d.entries[address]; !known || !e.settles(b) {
+			if e, known := d.entries[address]; !known || e.Era < d.position.Era || !e.settles(b) {
 				list = append(list, Departure{Address: address, Backend: b})
 			}
 		}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -19,8 +19,13 @@
 func TestMergeIsIndependentOfOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var rows []directory.Entry
-		for v := uint64(1); v <= 20; v++ {
-			e := entry(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "address")), v, fmt.Sprint(v))
+		var at directory.Position
+		for i := range 20 {
+			if rapid.IntRange(0, 5).Draw(t, "restored") == 0 {
+				at = directory.Position{Era: at.Era + 1, Version: at.Version / 2}
+			}
+			at.Version++
+			e := entry(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "address")), 0, fmt.Sprint(i)).WithPosition(at)
 			e.Removed = rapid.Bool().Draw(t, "removed")
 			rows = append(rows, e)
 		}
@@ -33,8 +38,8 @@
 			shuffled.Merge(e)
 		}
 		require.Equal(t, ordered.Nodes(), shuffled.Nodes())
-		require.Equal(t, ordered.Version(), shuffled.Version())
-		require.Equal(t, ordered.Since(0), shuffled.Since(0))
+		require.Equal(t, ordered.Position(), shuffled.Position())
+		require.Equal(t, ordered.Since(directory.Position{}), shuffled.Since(directory.Position{}))
 	})
 }
 
@@ -44,7 +49,7 @@
 	d.Merge(entry("a", 3, "maps"))
 	d.Merge(entry("b", 4, "maps"))
 	d.Merge(entry("c", 9, "maps"))
-	d.Replace([]directory.Entry{entry("a", 3, "maps")}, nil, 7)
+	d.Replace([]directory.Entry{entry("a", 3, "maps")}, nil, directory.Position{Version: 7}, false)
 	var remaining []string
 	for _, n := range d.Nodes() {
 		remaining = append(remaining, n.Address)
@@ -53,6 +58,40 @@
 	require.False(t, d.Merge(entry("b", 5, "maps")), "a row from before the list came back")
 }
 
+// Guards against rows that are ignored since the store has come back from an older copy and gives out versions again, and against
+// nodes that are dropped before they could write their rows again.
+func TestRowsOfLaterErasWin(t *testing.T) {
+	var d directory.Directory
+	d.Merge(entry("a", 30, "maps"))
+	d.Merge(entry("b", 40, "maps"))
+	restored := entry("a", 20, "nursery")
+	restored.Era = 1
+	d.Replace([]directory.Entry{restored}, nil, directory.Position{Era: 1, Version: 25}, true)
+	require.Equal(t, directory.Position{Era: 1, Version: 25}, d.Position())
+	require.Equal(t, "nursery", d.Nodes()[0].Service)
+	require.Len(t, d.Nodes(), 2, "b has not written its row again yet")
+	require.False(t, d.Merge(entry("a", 50, "maps")), "a row of the era before came back")
+	require.Equal(t, []directory.Entry{restored}, d.Since(directory.Position{Version: 100}))
+	d.Replace([]directory.Entry{restored}, nil, directory.Position{Era: 1, Version: 26}, false)
+	require.Len(t, d.Nodes(), 1, "b has ended")
+}
+
+// Guards against a departure that is no longer passed on since the store held it, when the store has come back without it.
+func TestDeparturesThatTheStoreLostArePassedOn(t *testing.T) {
+	var d directory.Directory
+	departed := directory.Departure{Address: "a:1", Backend: directory.Incarnation{ID: "one", StartMillis: 5}}
+	require.True(t, d.AddPendingDeparture(departed))
+	row := entry("a", 9, "maps")
+	row.Node.State, row.Node.Backend = directory.Leaving, departed.Backend
+	d.Merge(row)
+	require.Empty(t, d.UnstoredDepartures())
+	d.AdvancePosition(directory.Position{Era: 1, Version: 4})
+	require.Equal(t, []directory.Departure{departed}, d.UnstoredDepartures())
+	row.Era, row.Version = 1, 6
+	d.Merge(row)
+	require.Empty(t, d.UnstoredDepartures())
+}
+
 // Guards against an address that is still attributed to its former service after another service has reused it.
 func TestNewestStateOfNodeWins(t *testing.T) {
 	var d directory.Directory
@@ -90,7 +129,7 @@
 	var d directory.Directory
 	d.Merge(entry("a", 3, "maps"))
 	d.Merge(entry("b", 4, "maps"))
-	d.Replace(nil, []string{"a:1"}, 7)
+	d.Replace(nil, []string{"a:1"}, directory.Position{Version: 7}, false)
 	require.Len(t, d.Nodes(), 1)
 	require.Equal(t, "a:1", d.Nodes()[0].Address)
 }
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -123,7 +123,8 @@
 func (n *Node) writeDepartedRow(ctx context.Context, b directory.Incarnation) bool {
 	n.mu.Lock()
 	self := n.selfLocked()
-	_, known := n.directory.Entry(self.Address)
+	entry, known := n.directory.Entry(self.Address)
+	known = known && entry.Era == n.directory.Position().Era
 	n.mu.Unlock()
 	if known || self.State != directory.Absent {
 		return false
@@ -134,7 +135,7 @@
 		n.log.Warn("node-not-written", "expected", 0, "error", err)
 		return false
 	}
-	n.mergeRows([]directory.Entry{{Node: self, Version: at.Version}})
+	n.mergeRows([]directory.Entry{directory.Entry{Node: self}.WithPosition(at)})
 	return true
 }
 
@@ -255,38 +256,39 @@
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		self := n.selfLocked()
-		entry, known := n.directory.Entry(self.Address)
+		entry, stored := n.ownRowLocked()
 		n.mu.Unlock()
-		if known && !entry.Removed && entry.Node == self {
+		if stored && entry.Node == self {
 			return true
 		}
-		expected := uint64(0)
-		if known && !entry.Removed {
-			expected = entry.Version
-		}
+		expected := entry.Version
 		at, err := n.store.Write(ctx, nodesTable, Write{Key: self.Address, Value: encode(self), Expect: kernel.Some(expected)})
 		if err == nil {
 			n.log.Info("node-written", "state", self.State.String(), "id", self.Backend.ID, "era", at.Era, "version", at.Version)
-			n.mergeRows([]directory.Entry{{Node: self, Version: at.Version}})
+			n.mergeRows([]directory.Entry{directory.Entry{Node: self}.WithPosition(at)})
 			continue
 		}
 		n.log.Warn("node-not-written", "expected", expected, "error", err)
-		if errors.Is(err, ErrConflict) && n.readDirectory(ctx) == nil && n.ownRowVersion() != expected {
-			continue
+		if errors.Is(err, ErrConflict) && n.readDirectory(ctx) == nil {
+			n.mu.Lock()
+			entry, _ := n.ownRowLocked()
+			n.mu.Unlock()
+			if entry.Version != expected {
+				continue
+			}
 		}
 		sleep(ctx, n.rand.Jitter(writeRetryDelay, 0.5))
 	}
 	return false
 }
 
-// ownRowVersion returns the known version of the row of this node, or 0 if there is none.
-func (n *Node) ownRowVersion() uint64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if entry, known := n.directory.Entry(n.settings.CallsAddress); known && !entry.Removed {
-		return entry.Version
+// ownRowLocked returns the row of this node in the current era of the store. It returns false and a zero entry if there is none.
+func (n *Node) ownRowLocked() (directory.Entry, bool) {
+	entry, known := n.directory.Entry(n.settings.CallsAddress)
+	if !known || entry.Removed || entry.Era < n.directory.Position().Era {
+		return directory.Entry{}, false
 	}
-	return 0
+	return entry, true
 }
 
 // removeUnreachable removes the rows of nodes of the own region that have been unreachable for at least the given time: they
@@ -306,8 +308,17 @@
 		}
 		n.mu.Lock()
 		entry, known := n.directory.Entry(node.Address)
+		lost := known && entry.Era < n.directory.Position().Era
+		if lost {
+			// It has not written its row again since the store lost it.
+			n.directory.Forget(node.Address)
+		}
 		n.mu.Unlock()
-		if !known || entry.Removed {
+		if lost {
+			n.log.Info("node-forgotten", "node", node.Address, "service", node.Service, "silent", unreachableFor)
+			n.handleDirectoryChange()
+		}
+		if !known || lost || entry.Removed {
 			continue
 		}
 		at, err := n.store.Write(ctx, nodesTable, Write{Key: node.Address, Remove: true, Expect: kernel.Some(entry.Version)})
@@ -316,8 +327,8 @@
 			continue
 		}
 		n.log.Info("node-forgotten", "node", node.Address, "service", node.Service, "silent", unreachableFor)
-		entry.Version, entry.Removed = at.Version, true
-		n.mergeRows([]directory.Entry{entry})
+		entry.Removed = true
+		n.mergeRows([]directory.Entry{entry.WithPosition(at)})
 	}
 }
 
@@ -332,9 +343,9 @@
 // beside it, and then only the row tells that it must not be used.
 func (n *Node) removeOwnRow(ctx context.Context) {
 	n.mu.Lock()
-	entry, known := n.directory.Entry(n.settings.CallsAddress)
+	entry, stored := n.ownRowLocked()
 	n.mu.Unlock()
-	if !known || entry.Removed {
+	if !stored {
 		return
 	}
 	if !n.backend.hasEnded() {
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -65,7 +65,8 @@
 }
 
 func (n *Node) versionsLocked() versions {
-	v := versions{DirectoryVersion: n.directory.Version(), CrashesSum: n.quarantine.Sum(n.clock.Now())}
+	at := n.directory.Position()
+	v := versions{DirectoryEra: at.Era, DirectoryVersion: at.Version, CrashesSum: n.quarantine.Sum(n.clock.Now())}
 	if cfg := n.config.Load(); cfg != nil {
 		v.ConfigVersion = cfg.Version()
 	}
@@ -89,9 +90,9 @@
 	now := n.clock.Now()
 	n.mu.Lock()
 	ours := n.versionsLocked()
-	learned := ours.ConfigVersion < theirs.ConfigVersion && ours.ConfigVersion >= n.configLag.version
-	pull := n.configLag.exceeds(grace, now, ours.ConfigVersion, theirs.ConfigVersion)
-	pull = n.directoryLag.exceeds(grace, now, ours.DirectoryVersion, theirs.DirectoryVersion) || pull
+	learned := ours.ConfigVersion < theirs.ConfigVersion && ours.ConfigVersion >= n.configLag.at.Version
+	pull := n.configLag.exceeds(grace, now, directory.Position{Version: ours.ConfigVersion}, directory.Position{Version: theirs.ConfigVersion})
+	pull = n.directoryLag.exceeds(grace, now, ours.directory(), theirs.directory()) || pull
 	n.mu.Unlock()
 	if learned {
 		n.log.Info("config-behind", "version", ours.ConfigVersion, "other", theirs.ConfigVersion)
@@ -111,19 +112,19 @@
 	}
 }
 
-// lag records since when this node lacks a version that another node has.
+// lag records since when this node lacks what another node has, up to a position.
 type lag struct {
-	version uint64
-	since   time.Time
+	at    directory.Position
+	since time.Time
 }
 
-// exceeds reports whether this node has lacked a version of another node for at least the grace period.
-func (l *lag) exceeds(grace time.Duration, now time.Time, ours, theirs uint64) bool {
-	if ours >= theirs {
+// exceeds reports whether this node has lacked what another node has for at least the grace period.
+func (l *lag) exceeds(grace time.Duration, now time.Time, ours, theirs directory.Position) bool {
+	if ours.Compare(theirs) >= 0 {
 		return false
 	}
-	if ours >= l.version {
-		l.version, l.since = theirs, now
+	if ours.Compare(l.at) >= 0 {
+		l.at, l.since = theirs, now
 	}
 	return now.Sub(l.since) >= grace
 }
@@ -144,9 +145,10 @@
 	if len(m.Rows) > 0 {
 		n.mergeRows(m.Rows)
 	}
-	if m.DirectoryVersion > 0 {
+	if at := (directory.Position{Era: m.DirectoryEra, Version: m.DirectoryVersion}); at != (directory.Position{}) {
 		n.mu.Lock()
-		n.directory.AdvanceVersion(m.DirectoryVersion)
+		n.noteEraLocked(at.Era)
+		n.directory.AdvancePosition(at)
 		n.mu.Unlock()
 	}
 	switch {
@@ -203,8 +205,8 @@
 func (n *Node) sendUpdates(theirs versions, reply func([]byte)) {
 	n.mu.Lock()
 	var m gossipMessage
-	if n.directory.Version() > theirs.DirectoryVersion {
-		m.Rows, m.DirectoryVersion = n.directory.Since(theirs.DirectoryVersion), n.directory.Version()
+	if at := n.directory.Position(); at.Compare(theirs.directory()) > 0 {
+		m.Rows, m.DirectoryEra, m.DirectoryVersion = n.directory.Since(theirs.directory()), at.Era, at.Version
 	}
 	if cfg := n.config.Load(); cfg != nil && cfg.Version() > theirs.ConfigVersion {
 		m.ConfigVersion, m.Config = cfg.Version(), n.configText
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -145,6 +145,12 @@
 	DirectoryVersion uint64 `cbor:"2,keyasint,omitempty"`
 	// CrashesSum is the sum of the crash records. Sums have no order: nodes whose sums differ pull from each other.
 	CrashesSum uint64 `cbor:"3,keyasint,omitempty"`
+	// DirectoryEra is the era of the store that DirectoryVersion belongs to.
+	DirectoryEra uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+func (v versions) directory() directory.Position {
+	return directory.Position{Era: v.DirectoryEra, Version: v.DirectoryVersion}
 }
 
 // gossipMessage carries state between nodes. All fields are optional.
@@ -166,8 +172,9 @@
 	Crashes []quarantine.Report `cbor:"8,keyasint,omitempty"`
 	// Node is the current directory record of the sender, sent after a change.
 	Node *directory.Node `cbor:"9,keyasint,omitempty"`
-	// DirectoryVersion is the directory version of the sender, which Rows brings the receiver up to.
+	// DirectoryVersion is the directory version of the sender, in the era DirectoryEra, which Rows brings the receiver up to.
 	DirectoryVersion uint64 `cbor:"10,keyasint,omitempty"`
+	DirectoryEra     uint64 `cbor:"15,keyasint,omitempty"`
 	// Allowance asks for or grants tokens of quotas.
 	Allowance *allowance.Message `cbor:"11,keyasint,omitempty"`
 	// Departures are the departures that the sender keeps and that may not be in the store yet. They are sent when a connection opens.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -121,6 +121,8 @@
 	configWatch, directoryWatch tableWatch
 
 	mu sync.Mutex
+	// eraSeen is when this node learned of the store's current era.
+	eraSeen time.Time
 	// configText is the encoded configuration in force, as read from the store. It is sent to other nodes.
 	configText   []byte
 	directory    directory.Directory
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagelane/allowance"
+	"lovagelane/directory"
 	"lovagelane/kernel"
 	"lovagelane/routing"
 )
@@ -68,7 +69,7 @@
 // setQuotaNodesLocked tells the nodes among which quotas are divided. Until the directory was read, a node does not know into how
 // many parts.
 func (n *Node) setQuotaNodesLocked() {
-	if !n.recovery.directoryRead && n.directory.Version() == 0 {
+	if !n.recovery.directoryRead && n.directory.Position() == (directory.Position{}) {
 		return
 	}
 	_, rejoined := n.directory.Entry(n.settings.CallsAddress)
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -21,6 +21,9 @@
 	// recoveryPeerWait is how long a started node waits, after its first peer connected, for other nodes to return a
 	// departure that they keep for it. It applies only if the store can't be read.
 	recoveryPeerWait = 1500 * time.Millisecond
+	// rewriteTime is how long after the store came back from an older copy a node is not taken as gone because its row is missing: the
+	// nodes ask the store again within maxRetryDelay, and write their rows then.
+	rewriteTime = 10 * time.Second
 	// recoveryCheckInterval is the period at which a started node checks whether its recovery is complete.
 	recoveryCheckInterval = 50 * time.Millisecond
 )
@@ -72,12 +75,7 @@
 		w.onSnapshot(rows, at)
 		sleep(ctx, n.rand.Jitter(w.batchDelay, 0.5))
 		for ctx.Err() == nil {
-			wait := feedPollTimeout
-			if !w.failedSince.IsZero() {
-				// The store may have come back in another era, and only an answer tells.
-				wait = 0
-			}
-			rows, at, err := n.store.Feed(ctx, w.table, w.at.Version, wait)
+			rows, at, err := n.feed(ctx, w)
 			gone := errors.Is(err, ErrHistoryGone)
 			if err != nil && !gone {
 				n.backOff(ctx, w, "feed", err)
@@ -99,6 +97,16 @@
 	return nil
 }
 
+// feed waits for changes of a table.
+func (n *Node) feed(ctx context.Context, w *tableWatch) ([]Row, directory.Position, error) {
+	wait := feedPollTimeout
+	if !w.failedSince.IsZero() {
+		// The store may have come back in another era, and only an answer tells.
+		wait = 0
+	}
+	return n.store.Feed(ctx, w.table, w.at.Version, wait)
+}
+
 // backOff logs a failed call and pauses. The pause doubles with each failure in a row.
 func (n *Node) backOff(ctx context.Context, w *tableWatch, call string, err error) {
 	if w.failedSince.IsZero() {
@@ -115,6 +123,13 @@
 	now := n.clock.Now()
 	w.answeredAt.Store(now.UnixNano())
 	w.retryDelay = minRetryDelay
+	n.mu.Lock()
+	lostRows := n.recovery.directoryRead && at.Era > n.directory.Position().Era
+	n.mu.Unlock()
+	if lostRows && w != &n.directoryWatch {
+		// The feed of the table of nodes may wait on a connection that is silent.
+		n.group.Go("read-directory", n.readDirectory)
+	}
 	n.metrics.Set("store-era", int64(at.Era))
 	if at.Version > 0 { // An answer without the history that was asked for states no version.
 		n.metrics.Set("store-version", int64(at.Version), w.table)
@@ -173,8 +188,8 @@
 func (n *Node) syncDirectory(ctx context.Context) error {
 	w := &n.directoryWatch
 	w.table, w.batchDelay, w.onSnapshot = nodesTable, directoryBatchDelay, n.replaceDirectory
-	w.onChange = func(rows []Row, _ directory.Position) {
-		entries, _ := n.entriesOf(rows)
+	w.onChange = func(rows []Row, at directory.Position) {
+		entries, _ := n.entriesOf(rows, at.Era)
 		n.mergeRows(entries)
 	}
 	return n.watchTable(ctx, w)
@@ -191,20 +206,31 @@
 }
 
 func (n *Node) replaceDirectory(rows []Row, at directory.Position) {
-	entries, malformed := n.entriesOf(rows)
+	entries, malformed := n.entriesOf(rows, at.Era)
 	n.mu.Lock()
-	n.directory.Replace(entries, malformed, at.Version)
+	n.noteEraLocked(at.Era)
+	keepEarlier := n.clock.Now().Sub(n.eraSeen) < rewriteTime
+	n.directory.Replace(entries, malformed, at, keepEarlier)
 	n.recovery.directoryRead = true
 	n.mu.Unlock()
 	n.handleDirectoryChange()
 }
 
+// noteEraLocked records when this node learned that the store has come back from an older copy.
+func (n *Node) noteEraLocked(era uint64) {
+	if known := n.directory.Position(); known != (directory.Position{}) && era > known.Era {
+		n.eraSeen = n.clock.Now()
+		n.log.Info("store-restored", "era", era, "known-era", known.Era, "known-version", known.Version)
+		n.metrics.Add("store-restored", 1)
+	}
+}
+
 // entriesOf decodes rows of the table of nodes. It skips malformed rows, which another writer may leave, and returns their
 // keys: they name no node to use, and what was known of the node at that key holds. In place of the row of this node it
 // returns an entry without a backend server, whose version allows this node to write its row again.
-func (n *Node) entriesOf(rows []Row) (entries []directory.Entry, malformed []string) {
+func (n *Node) entriesOf(rows []Row, era uint64) (entries []directory.Entry, malformed []string) {
 	for _, row := range rows {
-		e := directory.Entry{Node: directory.Node{Address: row.Key}, Version: row.Version, Removed: row.Removed}
+		e := directory.Entry{Node: directory.Node{Address: row.Key}, Era: era, Version: row.Version, Removed: row.Removed}
 		err := row.Err
 		if err == nil && !row.Removed {
 			err = decode(row.Value, &e.Node)
@@ -218,7 +244,7 @@
 		}
 		n.logMalformedRow(row, err)
 		if row.Key == n.settings.CallsAddress && row.Version > 0 {
-			entries = append(entries, directory.Entry{Node: directory.Node{Address: row.Key}, Version: row.Version})
+			entries = append(entries, directory.Entry{Node: directory.Node{Address: row.Key}, Era: era, Version: row.Version})
 		} else {
 			malformed = append(malformed, row.Key)
 		}
@@ -244,6 +270,7 @@
 	changed := 0
 	n.mu.Lock()
 	for _, e := range entries {
+		n.noteEraLocked(e.Era)
 		if n.directory.Merge(e) {
 			changed++
 		}
@@ -264,9 +291,10 @@
 	if known && own.Node.State == directory.Leaving {
 		n.setDepartedLocked(own.Node.Backend)
 	}
-	_, state := n.tracker.Current()
-	// Another writer has removed the row of this node or replaced it with another state.
-	rewrite := known && state != directory.Absent && (own.Removed || own.Node.State != state) && !n.stopping.Load()
+	backend, state := n.tracker.Current()
+	// Another writer has removed the row of this node or replaced it with another state, or the store has lost it.
+	lost := own.Removed || own.Era < n.directory.Position().Era || own.Node.State != state || own.Node.Backend != backend
+	rewrite := known && state != directory.Absent && lost && !n.stopping.Load()
 	count := len(n.directory.Nodes())
 	n.mu.Unlock()
 	n.transport.SetPersistentPeers(peers)
