List a table again after the store came back from an older copy

What operators see: a node that was announced after the return is missing in the views of nodes that had listed the table before, until its row is written again. The listing continued after a revision that the store had given out again for other writes; it started over only when the revision was lower at that moment.

The store states its era in the header Store-Era, which grows with each return; a missing one is 0. A place in the history of a table is now a Mark of era and revision. Client.Rows compares both and lists from the beginning when the mark is not in the present history, so that no reader has a case of its own for it; listLoop loses the one that it had, and no longer waits an interval before it lists again. A store that states no era is treated as before.

Calls of Rows in tests are changed for its new type; what they check is the same. PlatformFaults and all other switches of the stand-in are as they were.

--- a/control/config.go
+++ b/control/config.go
@@ -233,9 +233,9 @@
 	return c.view.Self().ID
 }
 
-// listLoop reads the members table, first all rows and then only those changed since the last revision.
+// listLoop reads the members table, first all rows and then only those changed since the last listing.
 func (c *Control) listLoop(ctx context.Context) error {
-	var since uint64
+	var since tablestore.Mark
 	var lastListed time.Time
 	wait := c.options.Rand.Jitter(c.tuning.seedRetryDelay, 1)
 	for sleep(ctx, wait) {
@@ -243,21 +243,19 @@
 		if !c.listDue(lastListed) {
 			continue
 		}
-		revision, rows, err := c.store.Rows(ctx, tablestore.MembersTable, since)
+		mark, rows, err := c.store.Rows(ctx, tablestore.MembersTable, since)
 		c.recordStoreResult("list", err)
-		switch {
-		case err != nil:
-		case revision < since:
-			// A lower revision means that the table was recreated.
-			since = 0
-		default:
-			if since == 0 {
-				c.deleteExpired(ctx, rows)
-			}
-			since = revision
-			lastListed = c.now()
-			c.mergeRows(rows)
+		if err != nil {
+			continue
+		}
+		if since == (tablestore.Mark{}) {
+			c.deleteExpired(ctx, rows)
+		} else if mark.Era != since.Era {
+			c.log.Warn("store-restored", "era", mark.Era, "revision", mark.Revision, "revision-before", since.Revision)
 		}
+		since = mark
+		lastListed = c.now()
+		c.mergeRows(rows)
 	}
 	return nil
 }
--- a/control/store_test.go
+++ b/control/store_test.go
@@ -18,9 +18,9 @@
 	return tablestore.Row{}, false, errDown
 }
 
-func (hangingStore) Rows(ctx context.Context, _ string, _ uint64) (uint64, []tablestore.Row, error) {
+func (hangingStore) Rows(ctx context.Context, _ string, _ tablestore.Mark) (tablestore.Mark, []tablestore.Row, error) {
 	<-ctx.Done()
-	return 0, nil, errDown
+	return tablestore.Mark{}, nil, errDown
 }
 
 func (hangingStore) Transact(ctx context.Context, _ string, _ []tablestore.Write) (tablestore.Commit, error) {
@@ -68,19 +68,19 @@
 	return row, ok && !row.Deleted, nil
 }
 
-func (s *memoryStore) Rows(_ context.Context, table string, since uint64) (uint64, []tablestore.Row, error) {
+func (s *memoryStore) Rows(_ context.Context, table string, since tablestore.Mark) (tablestore.Mark, []tablestore.Row, error) {
 	unlock, err := s.lock()
 	if err != nil {
-		return 0, nil, err
+		return tablestore.Mark{}, nil, err
 	}
 	defer unlock()
 	var rows []tablestore.Row
 	for _, row := range s.rows[table] {
-		if row.Revision > since {
+		if row.Revision > since.Revision {
 			rows = append(rows, row)
 		}
 	}
-	return s.revision[table], rows, nil
+	return tablestore.Mark{Revision: s.revision[table]}, rows, nil
 }
 
 func (s *memoryStore) Transact(_ context.Context, table string, writes []tablestore.Write) (tablestore.Commit, error) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,7 +80,7 @@
 		return nil, Err.Wrap(err)
 	}
 	defer client.Close()
-	_, rows, err := client.Rows(ctx, tablestore.MembersTable, 0)
+	_, rows, err := client.Rows(ctx, tablestore.MembersTable, tablestore.Mark{})
 	if err != nil {
 		return nil, Err.New("the store does not list the nodes (%v): name one of them with --node", err)
 	}
--- a/rollout/apply_test.go
+++ b/rollout/apply_test.go
@@ -68,8 +68,8 @@
 	return row, ok, nil
 }
 
-func (s *fakeStore) Rows(context.Context, string, uint64) (uint64, []tablestore.Row, error) {
-	return 0, nil, errors.ErrUnsupported
+func (s *fakeStore) Rows(context.Context, string, tablestore.Mark) (tablestore.Mark, []tablestore.Row, error) {
+	return tablestore.Mark{}, nil, errors.ErrUnsupported
 }
 
 func (s *fakeStore) commit(writes []tablestore.Write) error {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/url"
 	"strconv"
@@ -70,6 +71,12 @@
 	down        bool
 	delay       time.Duration
 	loseAnswers int
+	// era is the number of returns from a copy, and copied the tables and objects of the next one.
+	era    uint64
+	copied struct {
+		tables  map[string]*table
+		objects map[string][]byte
+	}
 }
 
 // NewPlatform returns an empty platform; Serve starts it.
@@ -136,10 +143,7 @@
 func (p *Platform) handleTestControl(ctx *fasthttp.RequestCtx, parts []string) {
 	switch {
 	case len(parts) == 2 && parts[1] == "counts" && ctx.IsGet():
-		p.mu.Lock()
-		c := p.counts
-		p.mu.Unlock()
-		answerJSON(ctx, fasthttp.StatusOK, c)
+		answerJSON(ctx, fasthttp.StatusOK, p.Counts())
 	case len(parts) == 2 && parts[1] == "faults" && ctx.IsPost():
 		var f PlatformFaults
 		if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
@@ -147,11 +151,22 @@
 			return
 		}
 		p.SetFaults(f)
+	case len(parts) == 2 && parts[1] == "copy" && ctx.IsPost():
+		p.Copy()
+	case len(parts) == 2 && parts[1] == "restore" && ctx.IsPost():
+		p.Restore()
 	default:
 		ctx.Error("no such switch", fasthttp.StatusNotFound)
 	}
 }
 
+// Counts returns the numbers of requests so far.
+func (p *Platform) Counts() PlatformCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
 // SetFaults sets the faults whose fields are present in f.
 func (p *Platform) SetFaults(f PlatformFaults) {
 	p.mu.Lock()
@@ -167,6 +182,31 @@
 	}
 }
 
+// Copy copies all tables and objects for Restore.
+func (p *Platform) Copy() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.copied.tables, p.copied.objects = copyTables(p.tables), maps.Clone(p.objects)
+}
+
+// Restore loses all that was written after the last Copy and begins the next era, in which the versions and revisions of lost
+// writes are given out again.
+func (p *Platform) Restore() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tables, p.objects = copyTables(p.copied.tables), maps.Clone(p.copied.objects)
+	p.era++
+}
+
+// copyTables returns a copy that shares the rows, which never change.
+func copyTables(tables map[string]*table) map[string]*table {
+	copied := map[string]*table{}
+	for name, t := range tables {
+		copied[name] = &table{revision: t.revision, rows: maps.Clone(t.rows)}
+	}
+	return copied
+}
+
 func (p *Platform) getRow(ctx *fasthttp.RequestCtx, tableName, key string) {
 	p.mu.Lock()
 	p.counts.Reads++
@@ -178,6 +218,7 @@
 	found := r != nil && !r.Deleted
 	if found {
 		row = p.rowWithAge(r)
+		p.stateEra(ctx)
 	}
 	p.mu.Unlock()
 	if !found {
@@ -187,6 +228,13 @@
 	answerJSON(ctx, fasthttp.StatusOK, row)
 }
 
+// stateEra sets the header of an answer that states the era, from the first return on. p.mu must be held.
+func (p *Platform) stateEra(ctx *fasthttp.RequestCtx) {
+	if p.era > 0 {
+		ctx.Response.Header.Set("Store-Era", strconv.FormatUint(p.era, 10))
+	}
+}
+
 // rowWithAge returns the row with its current age. p.mu must be held.
 func (p *Platform) rowWithAge(r *storedRow) Row {
 	row := r.Row
@@ -211,6 +259,7 @@
 	list.Rows = []Row{}
 	p.mu.Lock()
 	p.counts.Reads++
+	p.stateEra(ctx)
 	if t := p.tables[tableName]; t != nil {
 		list.Revision = t.revision
 		for _, r := range t.rows {
@@ -253,6 +302,7 @@
 	}
 	versions := t.apply(in.Writes, p.clock.Now())
 	revision := t.revision
+	p.stateEra(ctx)
 	dropAnswer := p.recordWrite()
 	p.mu.Unlock()
 	if dropAnswer {
@@ -308,6 +358,7 @@
 	body := append([]byte(nil), ctx.PostBody()...)
 	p.mu.Lock()
 	p.objects[name] = body
+	p.stateEra(ctx)
 	dropAnswer := p.recordWrite()
 	p.mu.Unlock()
 	if dropAnswer {
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -140,6 +140,25 @@
 	require.GreaterOrEqual(t, time.Since(start), 30*time.Millisecond)
 }
 
+// Guards against a return from a copy that keeps a lost write, or does not give its version and revision out again.
+func TestPlatformRestoresACopy(t *testing.T) {
+	url := startServer(t, NewPlatform(kernel.SystemClock{}).Serve)
+	write := func(key, value string) string {
+		_, got := send(t, "POST", url+"/tables/t/transactions", fmt.Sprintf(`{"writes":[{"key":%q,"value":%q}]}`, key, value))
+		return got
+	}
+	write("kept", "a")
+	send(t, "POST", url+"/standin/copy", "")
+	lost := write("kept", "b")
+	write("lost", "b")
+	send(t, "POST", url+"/standin/restore", "")
+	_, got := send(t, "GET", url+"/tables/t/rows/kept", "")
+	require.Contains(t, got, `"value":"a","version":1,"revision":1`)
+	status, _ := send(t, "GET", url+"/tables/t/rows/lost", "")
+	require.Equal(t, 404, status)
+	require.Equal(t, lost, write("kept", "c"))
+}
+
 func startBackend(t *testing.T, opt BackendOptions) (*BackendServer, string) {
 	b := NewBackendServer(opt, kernel.SystemClock{})
 	return b, startServer(t, b.Serve)
--- a/tablestore/client.go
+++ b/tablestore/client.go
@@ -28,6 +28,8 @@
 	idleConnectionTimeout = 10 * time.Second
 	dialTimeout           = time.Second
 	maxQuotedBytes        = 200
+
+	eraHeader = "Store-Era"
 )
 
 var errDial = errors.New("cannot connect to the store")
@@ -143,10 +145,17 @@
 	http   *fasthttp.Client
 }
 
-// do sends a request and returns the status and the body of the response.
-func (c *Client) do(ctx context.Context, r request) (int, []byte, error) {
+type response struct {
+	status int
+	// era is 0 if the store states none.
+	era  uint64
+	body []byte
+}
+
+// do sends a request and returns the response.
+func (c *Client) do(ctx context.Context, r request) (response, error) {
 	if err := ctx.Err(); err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", errDial, err)
+		return response{}, fmt.Errorf("%w: %w", errDial, err)
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -161,25 +170,29 @@
 		deadline = d
 	}
 	if err := r.http.DoDeadline(req, resp, deadline); err != nil {
-		return 0, nil, err
+		return response{}, err
+	}
+	era, err := fasthttp.ParseUint(resp.Header.Peek(eraHeader))
+	if err != nil {
+		era = 0
 	}
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+	return response{status: resp.StatusCode(), era: uint64(era), body: append([]byte(nil), resp.Body()...)}, nil
 }
 
-// read sends a GET request and returns the body, or false for status 404.
-func (c *Client) read(ctx context.Context, path string, h *fasthttp.Client) ([]byte, bool, error) {
-	status, body, err := c.do(ctx, request{method: fasthttp.MethodGet, path: path, http: h})
+// read sends a GET request and returns the response, and false for status 404.
+func (c *Client) read(ctx context.Context, path string, h *fasthttp.Client) (response, bool, error) {
+	resp, err := c.do(ctx, request{method: fasthttp.MethodGet, path: path, http: h})
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return nil, false, &ProtocolError{Request: "GET " + path, Detail: "the response is too large"}
+		return response{}, false, &ProtocolError{Request: "GET " + path, Detail: "the response is too large"}
 	case err != nil:
-		return nil, false, &UnavailableError{Cause: err}
-	case status == fasthttp.StatusNotFound:
-		return nil, false, nil
-	case status != fasthttp.StatusOK:
-		return nil, false, statusError("GET "+path, status, body)
+		return response{}, false, &UnavailableError{Cause: err}
+	case resp.status == fasthttp.StatusNotFound:
+		return resp, false, nil
+	case resp.status != fasthttp.StatusOK:
+		return response{}, false, statusError("GET "+path, resp.status, resp.body)
 	}
-	return body, true, nil
+	return resp, true, nil
 }
 
 func statusError(request string, status int, body []byte) error {
@@ -201,41 +214,51 @@
 // Row returns a row and whether it exists.
 func (c *Client) Row(ctx context.Context, table, key string) (Row, bool, error) {
 	path := rowsPath(table) + "/" + url.PathEscape(key)
-	body, ok, err := c.read(ctx, path, c.defaultHTTP)
+	resp, ok, err := c.read(ctx, path, c.defaultHTTP)
 	if err != nil || !ok {
 		return Row{}, false, err
 	}
 	var row Row
-	if err := decode("GET "+path, body, &row); err != nil {
+	if err := decode("GET "+path, resp.body, &row); err != nil {
 		return Row{}, false, err
 	}
 	return row, !row.Deleted, nil
 }
 
-// Rows returns the revision of the table and the rows that changed after since, deleted ones included.
-func (c *Client) Rows(ctx context.Context, table string, since uint64) (uint64, []Row, error) {
-	path := fmt.Sprintf("%s?since=%d", rowsPath(table), since)
-	body, ok, err := c.read(ctx, path, c.rowListHTTP)
+// Rows returns the mark of the table and the rows that changed after since, deleted ones included. It returns all rows if since
+// is not in the table's present history.
+func (c *Client) Rows(ctx context.Context, table string, since Mark) (Mark, []Row, error) {
+	mark, rows, err := c.rowsSince(ctx, table, since.Revision)
+	// A lower revision shows a return or a new table also if the store states no era.
+	if err == nil && since.Revision > 0 && (mark.Era != since.Era || mark.Revision < since.Revision) {
+		return c.rowsSince(ctx, table, 0)
+	}
+	return mark, rows, err
+}
+
+func (c *Client) rowsSince(ctx context.Context, table string, revision uint64) (Mark, []Row, error) {
+	path := fmt.Sprintf("%s?since=%d", rowsPath(table), revision)
+	resp, ok, err := c.read(ctx, path, c.rowListHTTP)
 	if err != nil || !ok {
-		return 0, nil, err
+		return Mark{Era: resp.era}, nil, err
 	}
-	var response struct {
+	var list struct {
 		Revision uint64            `json:"revision"`
 		Rows     []json.RawMessage `json:"rows"`
 	}
-	if err := decode("GET "+path, body, &response); err != nil {
-		return 0, nil, err
+	if err := decode("GET "+path, resp.body, &list); err != nil {
+		return Mark{}, nil, err
 	}
 	// Rows are decoded one by one, so that an odd one, which another writer may leave, does not hide the others.
 	var rows []Row
-	for _, raw := range response.Rows {
+	for _, raw := range list.Rows {
 		var row Row
 		if err := json.Unmarshal(raw, &row); err != nil {
 			row.Err = &ProtocolError{Request: "GET " + path, Detail: err.Error()}
 		}
 		rows = append(rows, row)
 	}
-	return response.Revision, rows, nil
+	return Mark{Era: resp.era, Revision: list.Revision}, rows, nil
 }
 
 type wireWrite struct {
@@ -256,25 +279,26 @@
 	if err != nil {
 		return Commit{}, err
 	}
-	status, response, err := c.do(ctx, request{method: fasthttp.MethodPost, path: path, body: body, http: c.defaultHTTP})
+	resp, err := c.do(ctx, request{method: fasthttp.MethodPost, path: path, body: body, http: c.defaultHTTP})
 	switch {
 	case errors.Is(err, errDial), errors.Is(err, fasthttp.ErrNoFreeConns):
 		return Commit{}, &UnavailableError{Cause: err}
 	case err != nil:
 		return Commit{}, &UnknownError{Cause: err}
-	case status == fasthttp.StatusPreconditionFailed:
+	case resp.status == fasthttp.StatusPreconditionFailed:
 		conflict := &ConflictError{Table: table}
-		if err := decode("POST "+path, response, conflict); err != nil {
+		if err := decode("POST "+path, resp.body, conflict); err != nil {
 			return Commit{}, err
 		}
 		return Commit{}, conflict
-	case status == fasthttp.StatusServiceUnavailable, status < fasthttp.StatusInternalServerError && status != fasthttp.StatusOK:
-		return Commit{}, statusError("POST "+path, status, response)
-	case status != fasthttp.StatusOK:
-		return Commit{}, &UnknownError{Cause: fmt.Errorf("status %d", status)}
+	case resp.status == fasthttp.StatusServiceUnavailable,
+		resp.status < fasthttp.StatusInternalServerError && resp.status != fasthttp.StatusOK:
+		return Commit{}, statusError("POST "+path, resp.status, resp.body)
+	case resp.status != fasthttp.StatusOK:
+		return Commit{}, &UnknownError{Cause: fmt.Errorf("status %d", resp.status)}
 	}
 	var commit Commit
-	if err := decode("POST "+path, response, &commit); err != nil {
+	if err := decode("POST "+path, resp.body, &commit); err != nil {
 		// The transaction was committed although its response is malformed.
 		return Commit{}, &UnknownError{Cause: err}
 	}
@@ -296,20 +320,21 @@
 // and *UnknownError if the object may have been stored.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
 	path := "/objects/" + url.PathEscape(name)
-	status, body, err := c.do(ctx, request{method: fasthttp.MethodPut, path: path, body: data, http: c.defaultHTTP})
+	resp, err := c.do(ctx, request{method: fasthttp.MethodPut, path: path, body: data, http: c.defaultHTTP})
 	switch {
 	case errors.Is(err, errDial), errors.Is(err, fasthttp.ErrNoFreeConns):
 		return &UnavailableError{Cause: err}
 	case err != nil:
 		return &UnknownError{Cause: err}
 	}
-	if status < fasthttp.StatusOK || status >= fasthttp.StatusMultipleChoices {
-		return statusError("PUT "+path, status, body)
+	if resp.status < fasthttp.StatusOK || resp.status >= fasthttp.StatusMultipleChoices {
+		return statusError("PUT "+path, resp.status, resp.body)
 	}
 	return nil
 }
 
 // Object returns an object and whether it exists.
 func (c *Client) Object(ctx context.Context, name string) ([]byte, bool, error) {
-	return c.read(ctx, "/objects/"+url.PathEscape(name), c.defaultHTTP)
+	resp, ok, err := c.read(ctx, "/objects/"+url.PathEscape(name), c.defaultHTTP)
+	return resp.body, ok, err
 }
--- a/tablestore/client_test.go
+++ b/tablestore/client_test.go
@@ -139,9 +139,9 @@
 	require.Equal(t, "GET /tables/config/rows/current ", got)
 
 	reply = `{"revision":4,"rows":[{"key":"a","deleted":true}]}`
-	revision, rows, err := store.Rows(t.Context(), "members", 2)
+	mark, rows, err := store.Rows(t.Context(), "members", tablestore.Mark{Revision: 2})
 	require.NoError(t, err)
-	require.Equal(t, uint64(4), revision)
+	require.Equal(t, tablestore.Mark{Revision: 4}, mark)
 	require.Equal(t, []tablestore.Row{{Key: "a", Deleted: true}}, rows)
 	require.Equal(t, "GET /tables/members/rows?since=2 ", got)
 
@@ -196,14 +196,48 @@
 	}
 }
 
+// Guards against rows that are missing from a listing after a mark that isn't in the table's present history.
+func TestListingStartsOverInAnotherHistory(t *testing.T) {
+	cases := []struct {
+		name, era string
+		revision  uint64
+		since     tablestore.Mark
+		want      []string
+	}{
+		{"the same history", "3", 7, tablestore.Mark{Era: 3, Revision: 5}, []string{"5"}},
+		{"a later era", "4", 7, tablestore.Mark{Era: 3, Revision: 5}, []string{"5", "0"}},
+		{"the first era that is stated", "1", 7, tablestore.Mark{Revision: 5}, []string{"5", "0"}},
+		{"no era, a lower revision", "", 4, tablestore.Mark{Revision: 5}, []string{"5", "0"}},
+		{"no era, a higher revision", "", 7, tablestore.Mark{Revision: 5}, []string{"5"}},
+		{"an era that can't be read", "x", 7, tablestore.Mark{Revision: 5}, []string{"5"}},
+		{"the beginning", "4", 7, tablestore.Mark{}, []string{"0"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var asked []string
+			store := newClient(t, startServer(t, func(ctx *fasthttp.RequestCtx) {
+				asked = append(asked, string(ctx.QueryArgs().Peek("since")))
+				if c.era != "" {
+					ctx.Response.Header.Set("Store-Era", c.era)
+				}
+				ctx.SetBodyString(fmt.Sprintf(`{"revision":%d}`, c.revision))
+			}), 0)
+			mark, _, err := store.Rows(t.Context(), "members", c.since)
+			require.NoError(t, err)
+			require.Equal(t, c.revision, mark.Revision)
+			require.Equal(t, c.want, asked)
+		})
+	}
+}
+
 // Guards against a list that can't be read because of one odd row, which another writer may leave.
 func TestOddRowDoesNotHideTheOthers(t *testing.T) {
 	store := newClient(t, startServer(t, respondWith(200, `{"revision":4,"rows":[
 		{"key":"a","value":"v"},{"key":"odd","version":1e999},7,{"key":{"deep":[[]]}},{"key":"b","version":18446744073709551616},
 		{"key":"c","value":"w"}]}`)), 0)
-	revision, rows, err := store.Rows(t.Context(), "members", 0)
+	mark, rows, err := store.Rows(t.Context(), "members", tablestore.Mark{})
 	require.NoError(t, err)
-	require.Equal(t, uint64(4), revision)
+	require.Equal(t, tablestore.Mark{Revision: 4}, mark)
 	var readable, odd []string
 	for _, row := range rows {
 		if row.Err != nil {
@@ -237,11 +271,11 @@
 
 	port := ln.Addr().(*net.TCPAddr).Port
 	for range 2 {
-		revision, _, err := newClient(t, fmt.Sprintf("https://127.0.0.1:%d", port), 0).Rows(t.Context(), "t", 0)
+		mark, _, err := newClient(t, fmt.Sprintf("https://127.0.0.1:%d", port), 0).Rows(t.Context(), "t", tablestore.Mark{})
 		require.NoError(t, err)
-		require.EqualValues(t, 7, revision)
+		require.EqualValues(t, 7, mark.Revision)
 	}
-	_, _, err = newClient(t, fmt.Sprintf("https://localhost:%d", port), 0).Rows(t.Context(), "t", 0)
+	_, _, err = newClient(t, fmt.Sprintf("https://localhost:%d", port), 0).Rows(t.Context(), "t", tablestore.Mark{})
 	var otherName x509.HostnameError
 	require.ErrorAs(t, err, &otherName, "the certificate is for an address")
 }
@@ -268,7 +302,7 @@
 			require.Equal(t, "unknown", errorKind(c.PutObject(t.Context(), "o", []byte("text"))))
 			_, _, err = c.Row(t.Context(), "t", "k")
 			require.Equal(t, "unavailable", errorKind(err))
-			_, _, err = c.Rows(t.Context(), "t", 0)
+			_, _, err = c.Rows(t.Context(), "t", tablestore.Mark{})
 			require.Equal(t, "unavailable", errorKind(err))
 			_, _, err = c.Object(t.Context(), "o")
 			require.Equal(t, "unavailable", errorKind(err))
--- a/tablestore/store.go
+++ b/tablestore/store.go
@@ -34,6 +34,13 @@
 // Age returns the time since the row was written, as measured by the store's clock.
 func (r Row) Age() time.Duration { return time.Duration(r.AgeMillis) * time.Millisecond }
 
+// Mark is a place in the history of a table; its zero value is the beginning.
+type Mark struct {
+	// Era grows when the store comes back from an older copy, after which it gives revisions and versions out again.
+	Era      uint64
+	Revision uint64
+}
+
 // Write is one write of a transaction.
 type Write struct {
 	Key    string
@@ -53,8 +60,9 @@
 type Store interface {
 	// Row returns a row and whether it exists.
 	Row(ctx context.Context, table, key string) (Row, bool, error)
-	// Rows returns the revision of the table and the rows that changed after since, deleted ones included.
-	Rows(ctx context.Context, table string, since uint64) (uint64, []Row, error)
+	// Rows returns the mark of the table and the rows that changed after since, deleted ones included. It returns all rows if
+	// since is not in the table's present history.
+	Rows(ctx context.Context, table string, since Mark) (Mark, []Row, error)
 	// Transact applies all writes or none.
 	Transact(ctx context.Context, table string, writes []Write) (Commit, error)
 	// PutObject stores an object. Storing the same content again has no effect.
