Never give a configuration version out twice

What callers see: after the store came back from an older copy, nodes that had a lost configuration in force never took the one that an operator applied next, while nodes that started later did. The apply reported every node as in force, since it compares versions. The version was that of the row, which the store had given out again, or a lower one if more were lost.

TestConfigAppliedAfterTheStoreCameBackIsAdopted runs three real nodes with the stand-in and loses 0, 1 or 2 versions.

The version of a configuration is now the store's era in billions plus the row's version, so that it is one number as before and still only grows. The nodes, their frames and the adopter need no change: a restored row has the number that it had, below that of what a node holds, and what is applied after the return has a higher one. A write states the era for which its version was chosen (if-era).

Since versions may have gaps, a row names the version that it replaced, and a stale apply lists what came since by going back from the current one. Nodes warn with config-ahead-of-store when the store lost what they have (TestLostConfigIsLoggedOnce). A node of an earlier release can't read a row with an era in its version; by reading, not by a run, it takes the text from its peers. PutObject also returns the era; the checks of its tests are the same.

--- a/command/apply.go
+++ b/command/apply.go
@@ -175,7 +175,7 @@
 // changesInVersion returns the differences between an accepted configuration and the version before it.
 func changesInVersion(ctx context.Context, store tablestore.Store, a rollout.Accepted) ([]inventory.Change, error) {
 	var old *inventory.Config
-	before, found, err := rollout.AcceptedVersion(ctx, store, a.Version-1)
+	before, found, err := rollout.AcceptedVersion(ctx, store, a.Previous())
 	if err != nil {
 		return nil, err
 	}
--- a/control/config.go
+++ b/control/config.go
@@ -136,6 +136,7 @@
 }
 
 func (c *Control) poll(ctx context.Context) {
+	held := c.loadedVersion()
 	accepted, ok, err := rollout.Current(ctx, c.store)
 	c.recordStoreResult("poll", err)
 	if err != nil {
@@ -144,6 +145,10 @@
 	c.mu.Lock()
 	c.adopter.SetStoreVersion(accepted.Version)
 	c.storeStatus.ConfigRead = true
+	if accepted.Version < held && accepted.Version != c.polledVersion {
+		c.log.Warn("config-ahead-of-store", "version", held, "accepted", accepted.Version)
+	}
+	c.polledVersion = accepted.Version
 	wanted := ok && c.adopter.IsNewer(accepted.Version) && accepted.Version > c.unreadableVersion
 	c.mu.Unlock()
 	if !wanted {
--- a/control/control.go
+++ b/control/control.go
@@ -101,7 +101,9 @@
 	pullVersion       uint64
 	pullDeadline      time.Time
 	unreadableVersion uint64
-	storeStatus       StoreStatus
+	// polledVersion is the version that the store named last.
+	polledVersion uint64
+	storeStatus   StoreStatus
 }
 
 // Start opens the control listener, joins through the seeds and the store, and runs until Stop or until ctx ends.
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lovagelane/event"
 	"lovagelane/inventory"
 	"lovagelane/kernel"
 	"lovagelane/membership"
@@ -112,6 +113,7 @@
 	seeds                       []string
 	store                       tablestore.Store
 	maxInbound                  int
+	log                         *event.Log
 }
 
 func startNode(t testing.TB, o nodeOptions) *testNode {
@@ -126,6 +128,7 @@
 		Self:   membership.Member{ID: o.id, Service: "maps", Region: o.region, AvailabilityZone: o.region + "-1", Control: o.control},
 		Listen: listenOrLoopback(o.listen),
 		Seeds:  o.seeds,
+		Log:    o.log,
 		Rand:   kernel.NewRand(uint64(len(o.id)) + uint64(time.Now().UnixNano())),
 		OnConfig: func(cfg *inventory.Config) {
 			n.mu.Lock()
--- a/control/return_test.go
+++ b/control/return_test.go
@@ -4,12 +4,17 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"lovagelane/event"
+	"lovagelane/inventory"
 	"lovagelane/kernel"
+	"lovagelane/rollout"
 	"lovagelane/standin"
 	"lovagelane/tablestore"
 )
@@ -85,3 +90,88 @@
 	eventually(t, "a row with a later revision is read", sees("later-20"))
 	eventually(t, "the row with a repeated revision is read", sees("repeated"))
 }
+
+// applyCount applies a configuration that differs from others by its number of backend servers.
+func applyCount(t *testing.T, store tablestore.Store, base uint64, count int) rollout.Accepted {
+	t.Helper()
+	accepted, err := rollout.Apply(t.Context(), store, []inventory.File{
+		{Name: "inventory.ini", Text: fmt.Sprintf(testInventory, count)}, {Name: "rules.ini", Text: testRules},
+	}, "operator", base)
+	require.NoError(t, err)
+	return accepted
+}
+
+// Guards against a configuration that running nodes take for one that they have, or for an older one, because the store came back
+// from an older copy and gave its row version out again, and against a node that goes back to the configuration of the copy.
+func TestConfigAppliedAfterTheStoreCameBackIsAdopted(t *testing.T) {
+	for lost := range 3 {
+		t.Run(fmt.Sprintf("%d lost", lost), func(t *testing.T) {
+			p, client := startStandIn(t)
+			nodes := startNodes(t, 3, client)
+			inForce := func(a rollout.Accepted) func() bool {
+				return func() bool {
+					return !slices.ContainsFunc(nodes, func(n *testNode) bool { return n.Status().Hash != a.Hash })
+				}
+			}
+			base := applyCount(t, client, 0, 1)
+			p.Copy()
+			newest := base
+			for i := range lost {
+				newest = applyCount(t, client, newest.Version, 2+i)
+			}
+			eventually(t, "the newest configuration is in force", inForce(newest))
+
+			p.Restore()
+			reads := p.Counts().Reads
+			eventually(t, "the store is read again", func() bool { return p.Counts().Reads > reads+10 })
+			require.True(t, inForce(newest)(), "a node went back to the configuration of the copy")
+			current, _, err := rollout.Current(t.Context(), client)
+			require.NoError(t, err)
+			require.Equal(t, base, current)
+			eventually(t, "the configuration that was applied after the return is in force",
+				inForce(applyCount(t, client, current.Version, 10)))
+			for _, n := range nodes {
+				require.IsIncreasing(t, n.inForceVersions())
+			}
+		})
+	}
+}
+
+// lines keeps the log lines that are written to it.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) count(event string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), event)
+}
+
+// Guards against an operator who isn't told that the store lost an accepted configuration which nodes have in force, or is told
+// with each poll.
+func TestLostConfigIsLoggedOnce(t *testing.T) {
+	p, client := startStandIn(t)
+	var log lines
+	n := startNode(t, nodeOptions{id: "a", region: "rn", store: client, log: event.New(&log, kernel.SystemClock{})})
+	base := applyCount(t, client, 0, 1)
+	p.Copy()
+	eventually(t, "the first version is in force", func() bool { return n.Status().Hash == base.Hash })
+	lost := applyCount(t, client, base.Version, 2)
+	eventually(t, "the second version is in force", func() bool { return n.Status().Hash == lost.Hash })
+	require.Zero(t, log.count("config-ahead-of-store"))
+	p.Restore()
+	eventually(t, "the loss is logged", func() bool { return log.count("config-ahead-of-store") > 0 })
+	eventually(t, "the return is logged", func() bool { return log.count("store-restored") > 0 })
+	reads := p.Counts().Reads
+	eventually(t, "the store is read again", func() bool { return p.Counts().Reads > reads+10 })
+	require.Equal(t, 1, log.count("config-ahead-of-store"))
+	require.Equal(t, 1, log.count("store-restored"))
+}
--- a/control/store_test.go
+++ b/control/store_test.go
@@ -109,14 +109,14 @@
 	return commit, nil
 }
 
-func (s *memoryStore) PutObject(_ context.Context, name string, data []byte) error {
+func (s *memoryStore) PutObject(_ context.Context, name string, data []byte) (uint64, error) {
 	unlock, err := s.lock()
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer unlock()
 	s.objects[name] = data
-	return nil
+	return 0, nil
 }
 
 func (s *memoryStore) Object(_ context.Context, name string) ([]byte, bool, error) {
--- a/rollout/apply.go
+++ b/rollout/apply.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,7 +27,7 @@
 	Base uint64
 	// Current is the accepted configuration; its version is 0 when the store has none.
 	Current Accepted
-	// Since lists the configurations that were accepted after the base, oldest first. It omits those that
+	// Since lists the latest configurations that were accepted after the base, oldest first. It omits those that
 	// could not be read and has at most maxListedConflicts entries.
 	Since []Accepted
 }
@@ -96,11 +97,13 @@
 	if err != nil {
 		return Accepted{}, &NotAcceptedError{Cause: err}
 	}
-	want := Accepted{Version: base + 1, Hash: Hash(text), ApplyID: rand.Text(), By: operator}
-	if err := putText(ctx, store, want.Hash, text); err != nil {
+	want := Accepted{Base: base, Hash: Hash(text), ApplyID: rand.Text(), By: operator}
+	era, err := putText(ctx, store, want.Hash, text)
+	if err != nil {
 		return Accepted{}, &NotAcceptedError{Cause: err}
 	}
-	writes, err := acceptanceWrites(want)
+	want.Version = nextVersion(base, era)
+	writes, err := acceptanceWrites(want, era)
 	if err != nil {
 		return Accepted{}, &NotAcceptedError{Cause: err}
 	}
@@ -108,21 +111,22 @@
 }
 
 // putText retries a failed write with backoff. The write is idempotent because the name is the hash of the content.
-func putText(ctx context.Context, store tablestore.Store, hash string, text []byte) error {
-	err := store.PutObject(ctx, hash, text)
+func putText(ctx context.Context, store tablestore.Store, hash string, text []byte) (uint64, error) {
+	era, err := store.PutObject(ctx, hash, text)
 	for attempt := 1; err != nil && attempt < maxPutAttempts && sleep(ctx, baseBackoff<<attempt); attempt++ {
-		err = store.PutObject(ctx, hash, text)
+		era, err = store.PutObject(ctx, hash, text)
 	}
-	return err
+	return era, err
 }
 
-func acceptanceWrites(want Accepted) ([]tablestore.Write, error) {
+// acceptanceWrites returns writes that succeed once, and only in the era that the version is of.
+func acceptanceWrites(want Accepted, era uint64) ([]tablestore.Write, error) {
 	value, err := json.Marshal(want)
 	if err != nil {
 		return nil, err
 	}
 	return []tablestore.Write{
-		{Key: tablestore.CurrentKey, Value: string(value), IfVersion: kernel.Some(want.Version - 1)},
+		{Key: tablestore.CurrentKey, Value: string(value), IfVersion: kernel.Some(rowVersion(want.Base)), IfEra: kernel.Some(era)},
 		{Key: versionKey(want.Version), Value: string(value), IfVersion: kernel.Some(uint64(0))},
 	}, nil
 }
@@ -182,16 +186,34 @@
 	if found && written.ApplyID == a.want.ApplyID {
 		return a.want, true, nil
 	}
-	if conflict == nil && !found && current.Version == a.want.Version-1 {
+	if conflict == nil && !found && current.Version == a.want.Base {
 		return Accepted{}, false, errors.New("the apply id is not in the store yet")
 	}
-	stale := &StaleError{Base: a.want.Version - 1, Current: current}
-	for v := a.want.Version; v <= current.Version && len(stale.Since) < maxListedConflicts; v++ {
-		if accepted, ok, err := AcceptedVersion(ctx, a.store, v); err == nil && ok {
+	if conflict != nil && conflict.Key == tablestore.CurrentKey && conflict.Version == rowVersion(a.want.Base) {
+		return Accepted{}, true, &NotAcceptedError{Cause: errRestored}
+	}
+	return Accepted{}, true, staleError(ctx, a.store, a.want.Base, current)
+}
+
+// errRestored reports a conflict at the version that the write required, so that the era is another.
+var errRestored = errors.New("the store came back from an older copy meanwhile: plan again")
+
+func staleError(ctx context.Context, store tablestore.Store, base uint64, current Accepted) *StaleError {
+	stale := &StaleError{Base: base, Current: current}
+	version := current.Version
+	for range maxListedConflicts {
+		if version <= base {
+			break
+		}
+		accepted, ok, err := AcceptedVersion(ctx, store, version)
+		version--
+		if err == nil && ok {
 			stale.Since = append(stale.Since, accepted)
+			version = accepted.Previous()
 		}
 	}
-	return Accepted{}, true, stale
+	slices.Reverse(stale.Since)
+	return stale
 }
 
 // maxListedConflicts bounds StaleError.Since.
--- a/rollout/apply_test.go
+++ b/rollout/apply_test.go
@@ -104,12 +104,12 @@
 	return tablestore.Commit{}, s.commit(writes)
 }
 
-func (s *fakeStore) PutObject(_ context.Context, name string, data []byte) error {
+func (s *fakeStore) PutObject(_ context.Context, name string, data []byte) (uint64, error) {
 	if popFault(&s.putFaults) == down {
-		return errUnavailable
+		return 0, errUnavailable
 	}
 	s.objects[name] = data
-	return nil
+	return 0, nil
 }
 
 func (s *fakeStore) Object(_ context.Context, name string) ([]byte, bool, error) {
--- a/rollout/text.go
+++ b/rollout/text.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -18,6 +19,9 @@
 	MaxTextBytes = 256 << 10
 
 	maxFiles = 64
+
+	// versionsPerEra is the distance between the versions of a configuration in two eras of the store.
+	versionsPerEra = 1_000_000_000
 )
 
 // ErrTextTooLarge reports that an encoded configuration does not fit a control frame.
@@ -61,16 +65,29 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// nextVersion returns the version that a configuration gets in an era of the store: the era in billions, plus the version of the row.
+// The row's version alone is given out again after the store came back from an older copy.
+func nextVersion(base, era uint64) uint64 {
+	return max(era, base/versionsPerEra)*versionsPerEra + rowVersion(base) + 1
+}
+
+func rowVersion(version uint64) uint64 { return version % versionsPerEra }
+
 // Accepted identifies an accepted configuration in the store.
 type Accepted struct {
 	Version uint64 `json:"version"`
-	Hash    string `json:"hash"`
+	// Base is the version that it replaced, or 0 if there was none or an earlier release applied it.
+	Base uint64 `json:"base,omitempty"`
+	Hash string `json:"hash"`
 	// ApplyID is random for each apply, so that a re-read can show whether a transaction without an answer took effect.
 	ApplyID string `json:"apply-id"`
 	// By is the operator who applied the configuration.
 	By string `json:"by"`
 }
 
+// Previous returns the version that this one replaced, or that of no configuration if there was none.
+func (a Accepted) Previous() uint64 { return cmp.Or(a.Base, a.Version-1) }
+
 // ParseRow decodes and validates a row of the config table.
 func ParseRow(row tablestore.Row) (Accepted, error) {
 	var a Accepted
@@ -80,7 +97,7 @@
 	if a.Version == 0 || len(a.Hash) != 2*sha256.Size {
 		return a, fmt.Errorf("row %s/%s has no version or hash: repeat the apply", tablestore.ConfigTable, row.Key)
 	}
-	if row.Key == tablestore.CurrentKey && a.Version != row.Version {
+	if row.Key == tablestore.CurrentKey && rowVersion(a.Version) != row.Version {
 		return a, fmt.Errorf("row %s/%s names version %d but is at version %d: it was not written by apply",
 			tablestore.ConfigTable, row.Key, a.Version, row.Version)
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -30,6 +30,7 @@
 	Key       string  `json:"key"`
 	Value     string  `json:"value"`
 	IfVersion *uint64 `json:"if-version,omitempty"`
+	IfEra     *uint64 `json:"if-era,omitempty"`
 	Delete    bool    `json:"delete,omitempty"`
 }
 
@@ -294,7 +295,7 @@
 		t = &table{rows: map[string]*storedRow{}}
 		p.tables[tableName] = t
 	}
-	if failedKey, version, ok := t.checkConditions(in.Writes); !ok {
+	if failedKey, version, ok := t.checkConditions(in.Writes, p.era); !ok {
 		p.counts.Reads++
 		p.mu.Unlock()
 		answerJSON(ctx, fasthttp.StatusPreconditionFailed, map[string]any{"key": failedKey, "version": version})
@@ -331,9 +332,10 @@
 
 // checkConditions returns the key and the current version of the first write whose condition fails, or true if none
 // fails.
-func (t *table) checkConditions(writes []Write) (string, uint64, bool) {
+func (t *table) checkConditions(writes []Write, era uint64) (string, uint64, bool) {
 	for _, w := range writes {
-		if current := t.version(w.Key); w.IfVersion != nil && *w.IfVersion != current {
+		current := t.version(w.Key)
+		if w.IfVersion != nil && *w.IfVersion != current || w.IfEra != nil && *w.IfEra != era {
 			return w.Key, current, false
 		}
 	}
--- a/tablestore/client.go
+++ b/tablestore/client.go
@@ -30,6 +30,8 @@
 	maxQuotedBytes        = 200
 
 	eraHeader = "Store-Era"
+	// maxEra keeps the versions of configurations, which include the era, in 64 bits.
+	maxEra = 1_000_000_000
 )
 
 var errDial = errors.New("cannot connect to the store")
@@ -173,7 +175,7 @@
 		return response{}, err
 	}
 	era, err := fasthttp.ParseUint(resp.Header.Peek(eraHeader))
-	if err != nil {
+	if err != nil || era > maxEra {
 		era = 0
 	}
 	return response{status: resp.StatusCode(), era: uint64(era), body: append([]byte(nil), resp.Body()...)}, nil
@@ -265,10 +267,11 @@
 	Key       string  `json:"key"`
 	Value     string  `json:"value,omitempty"`
 	IfVersion *uint64 `json:"if-version,omitempty"`
+	IfEra     *uint64 `json:"if-era,omitempty"`
 	Delete    bool    `json:"delete,omitempty"`
 }
 
-// Transact applies all writes or none. It returns *ConflictError if the version condition of a write does not hold,
+// Transact applies all writes or none. It returns *ConflictError if a condition of a write does not hold,
 // *UnavailableError if the store is unavailable and nothing was written, and *UnknownError if the writes may have been
 // applied.
 func (c *Client) Transact(ctx context.Context, table string, writes []Write) (Commit, error) {
@@ -312,25 +315,28 @@
 		if version, ok := w.IfVersion.Get(); ok {
 			wire[i].IfVersion = &version
 		}
+		if era, ok := w.IfEra.Get(); ok {
+			wire[i].IfEra = &era
+		}
 	}
 	return wire
 }
 
-// PutObject stores an object. Storing the same content again has no effect. It returns *UnavailableError if nothing was stored,
-// and *UnknownError if the object may have been stored.
-func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+// PutObject stores an object and returns the era of the store. Storing the same content again has no effect. It returns
+// *UnavailableError if nothing was stored, and *UnknownError if the object may have been stored.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) (uint64, error) {
 	path := "/objects/" + url.PathEscape(name)
 	resp, err := c.do(ctx, request{method: fasthttp.MethodPut, path: path, body: data, http: c.defaultHTTP})
 	switch {
 	case errors.Is(err, errDial), errors.Is(err, fasthttp.ErrNoFreeConns):
-		return &UnavailableError{Cause: err}
+		return 0, &UnavailableError{Cause: err}
 	case err != nil:
-		return &UnknownError{Cause: err}
+		return 0, &UnknownError{Cause: err}
 	}
 	if resp.status < fasthttp.StatusOK || resp.status >= fasthttp.StatusMultipleChoices {
-		return statusError("PUT "+path, resp.status, resp.body)
+		return 0, statusError("PUT "+path, resp.status, resp.body)
 	}
-	return nil
+	return resp.era, nil
 }
 
 // Object returns an object and whether it exists.
--- a/tablestore/client_test.go
+++ b/tablestore/client_test.go
@@ -116,7 +116,8 @@
 			require.Equal(t, c.read, errorKind(err), "read: %v", err)
 			_, err = store.Transact(t.Context(), "config", []tablestore.Write{{Key: "current", Value: "x"}})
 			require.Equal(t, c.write, errorKind(err), "write: %v", err)
-			require.Equal(t, c.put, errorKind(store.PutObject(t.Context(), "abc", []byte("x"))))
+			_, err = store.PutObject(t.Context(), "abc", []byte("x"))
+			require.Equal(t, c.put, errorKind(err))
 		})
 	}
 }
@@ -147,15 +148,16 @@
 
 	reply = `{"revision":5,"versions":{"a":1}}`
 	commit, err := store.Transact(t.Context(), "members", []tablestore.Write{
-		{Key: "a", Value: "v", IfVersion: kernel.Some(uint64(0))}, {Key: "b", Delete: true},
+		{Key: "a", Value: "v", IfVersion: kernel.Some(uint64(0))}, {Key: "b", Delete: true, IfEra: kernel.Some(uint64(3))},
 	})
 	require.NoError(t, err)
 	require.Equal(t, tablestore.Commit{Revision: 5, Versions: map[string]uint64{"a": 1}}, commit)
 	require.Equal(t, `POST /tables/members/transactions `+
-		`{"writes":[{"key":"a","value":"v","if-version":0},{"key":"b","delete":true}]}`, got)
+		`{"writes":[{"key":"a","value":"v","if-version":0},{"key":"b","if-era":3,"delete":true}]}`, got)
 
 	reply = "text"
-	require.NoError(t, store.PutObject(t.Context(), "abc", []byte("x")))
+	_, err = store.PutObject(t.Context(), "abc", []byte("x"))
+	require.NoError(t, err)
 	require.Equal(t, "PUT /objects/abc x", got)
 	data, ok, err := store.Object(t.Context(), "abc")
 	require.NoError(t, err)
@@ -299,7 +301,8 @@
 			}), 0)
 			_, err := c.Transact(t.Context(), "t", []tablestore.Write{{Key: "k", Value: "v"}})
 			require.Equal(t, "unknown", errorKind(err))
-			require.Equal(t, "unknown", errorKind(c.PutObject(t.Context(), "o", []byte("text"))))
+			_, err = c.PutObject(t.Context(), "o", []byte("text"))
+			require.Equal(t, "unknown", errorKind(err))
 			_, _, err = c.Row(t.Context(), "t", "k")
 			require.Equal(t, "unavailable", errorKind(err))
 			_, _, err = c.Rows(t.Context(), "t", tablestore.Mark{})
--- a/tablestore/store.go
+++ b/tablestore/store.go
@@ -48,6 +48,8 @@
 	Delete bool
 	// IfVersion, if set, is the version that the row must have. Version 0 means that the row must not exist.
 	IfVersion kernel.Option[uint64]
+	// IfEra, if set, is the era that the store must be in; a store that states no era does not check it.
+	IfEra kernel.Option[uint64]
 }
 
 // Commit is the result of a committed transaction: the new revision of the table and the new version of each written row.
@@ -65,13 +67,13 @@
 	Rows(ctx context.Context, table string, since Mark) (Mark, []Row, error)
 	// Transact applies all writes or none.
 	Transact(ctx context.Context, table string, writes []Write) (Commit, error)
-	// PutObject stores an object. Storing the same content again has no effect.
-	PutObject(ctx context.Context, name string, data []byte) error
+	// PutObject stores an object and returns the era of the store. Storing the same content again has no effect.
+	PutObject(ctx context.Context, name string, data []byte) (uint64, error)
 	// Object returns an object and whether it exists.
 	Object(ctx context.Context, name string) ([]byte, bool, error)
 }
 
-// ConflictError reports that the version condition of a write did not hold and nothing was written.
+// ConflictError reports that a condition of a write did not hold and nothing was written.
 type ConflictError struct {
 	Table string
 	Key   string
