Refuse an apply whose base the store has lost

The first apply overwrote the other's configuration and reported success.

The version of the accepted configuration names its era by now, so that an apply whose base is of an earlier era compares it with the accepted one first.

--- a/rollout/apply.go
+++ b/rollout/apply.go
@@ -102,6 +102,16 @@
 	if err != nil {
 		return Accepted{}, &NotAcceptedError{Cause: err}
 	}
+	if isBeforeEra(base, era) {
+		// The store may have lost the base, and given its row version to another configuration.
+		current, _, err := Current(ctx, store)
+		if err != nil {
+			return Accepted{}, &NotAcceptedError{Cause: err}
+		}
+		if current.Version != base {
+			return Accepted{}, staleError(ctx, store, base, current)
+		}
+	}
 	want.Version = nextVersion(base, era)
 	writes, err := acceptanceWrites(want, era)
 	if err != nil {
--- a/rollout/return_test.go
+++ b/rollout/return_test.go
@@ -74,3 +74,26 @@
 	require.Equal(t, "accepted", result)
 	require.Equal(t, uint64(3_000_000_002), version)
 }
+
+// Guards against an apply that silently overwrites another operator's configuration, because its base was lost when the store
+// came back from an older copy and the other one got the base's row version.
+func TestApplyOnALostBaseIsStale(t *testing.T) {
+	p, client := startStandIn(t)
+	apply := func(operator string, base uint64) (rollout.Accepted, error) {
+		return rollout.Apply(t.Context(), client, files, operator, base)
+	}
+	first, err := apply("davi", 0)
+	require.NoError(t, err)
+	p.Copy()
+	lost, err := apply("davi", first.Version)
+	require.NoError(t, err)
+	p.Restore()
+	other, err := apply("ana", first.Version)
+	require.NoError(t, err)
+	_, err = apply("davi", lost.Version)
+	require.Equal(t, "stale", applyResult(err), "%v", err)
+	require.ErrorContains(t, err, "ana applied version")
+	var stale *rollout.StaleError
+	require.ErrorAs(t, err, &stale)
+	require.Equal(t, []rollout.Accepted{other}, stale.Since)
+}
--- a/rollout/text.go
+++ b/rollout/text.go
@@ -71,6 +71,9 @@
 	return max(era, base/versionsPerEra)*versionsPerEra + rowVersion(base) + 1
 }
 
+// isBeforeEra reports whether a version is of an earlier era of the store.
+func isBeforeEra(version, era uint64) bool { return version/versionsPerEra < era }
+
 func rowVersion(version uint64) uint64 { return version % versionsPerEra }
 
 // Accepted identifies an accepted configuration in the store.
