Start without a configuration that the store named and lost

What operators see: a node without a configuration reads which version is accepted, the store comes back from an older copy before the node has the text, and the node never starts, although the store lists an older configuration with its text and no peer has a newer one. The adopter kept the highest version that the store had ever named.

The adopter now believes the store's last answer.

--- a/control/return_test.go
+++ b/control/return_test.go
@@ -175,3 +175,30 @@
 	require.Equal(t, 1, log.count("config-ahead-of-store"))
 	require.Equal(t, 1, log.count("store-restored"))
 }
+
+// heldObjects is a store whose reads of objects wait while the test holds its gate.
+type heldObjects struct {
+	tablestore.Store
+	gate *sync.RWMutex
+}
+
+func (s heldObjects) Object(ctx context.Context, name string) ([]byte, bool, error) {
+	s.gate.RLock()
+	defer s.gate.RUnlock()
+	return s.Store.Object(ctx, name)
+}
+
+// Guards against a node that never starts because it waits for a configuration that the store named and then lost.
+func TestNodeStartsWithoutAConfigThatTheStoreLost(t *testing.T) {
+	p, client := startStandIn(t)
+	base := applyCount(t, client, 0, 1)
+	p.Copy()
+	applyCount(t, client, base.Version, 2)
+	var gate sync.RWMutex
+	gate.Lock()
+	n := startNode(t, nodeOptions{id: "a", region: "rn", store: heldObjects{client, &gate}})
+	eventually(t, "the store names the second version", func() bool { return n.Status().HighestVersion == 2 })
+	p.Restore()
+	gate.Unlock()
+	eventually(t, "the first version is in force", func() bool { return n.Status().Hash == base.Hash })
+}
--- a/rollout/adopter.go
+++ b/rollout/adopter.go
@@ -55,10 +55,8 @@
 	return true
 }
 
-// SetStoreVersion records the version that is accepted in the store, 0 for none.
-func (a *Adopter) SetStoreVersion(version uint64) {
-	a.storeVersion = kernel.Some(max(version, a.storeVersion.Or(0)))
-}
+// SetStoreVersion records the version that is accepted in the store, 0 for none. It is lower than before if the store lost one.
+func (a *Adopter) SetStoreVersion(version uint64) { a.storeVersion = kernel.Some(version) }
 
 // SetPeerVersion records the highest version whose text a peer has, 0 for none.
 func (a *Adopter) SetPeerVersion(id string, version uint64) {
--- a/rollout/adopter_test.go
+++ b/rollout/adopter_test.go
@@ -50,6 +50,10 @@
 		}, 5},
 		{"the store answered", region, false, 2 * time.Second, func(a *rollout.Adopter) { a.SetStoreVersion(5) }, 5},
 		{"the store named a higher version", region, false, time.Hour, func(a *rollout.Adopter) { a.SetStoreVersion(6) }, 0},
+		{"the store named a higher version and lost it", region, false, time.Hour, func(a *rollout.Adopter) {
+			a.SetStoreVersion(6)
+			a.SetStoreVersion(5)
+		}, 5},
 		{"a peer named a higher version", region, true, time.Hour, func(a *rollout.Adopter) {
 			reported("a", "b", "c")(a)
 			a.SetPeerVersion("d", 6)
