Start below an unreadable configuration that the store lost

What operators see: a node without a configuration can't read the accepted one (config-unreadable), the store comes back from an older copy without it, and the node never takes the older one, which it could read, and never starts. A poll skipped all versions up to the unreadable one; it now skips that one only.

--- a/control/config.go
+++ b/control/config.go
@@ -149,7 +149,7 @@
 		c.log.Warn("config-ahead-of-store", "version", held, "accepted", accepted.Version)
 	}
 	c.polledVersion = accepted.Version
-	wanted := ok && c.adopter.IsNewer(accepted.Version) && accepted.Version > c.unreadableVersion
+	wanted := ok && c.adopter.IsNewer(accepted.Version) && accepted.Version != c.unreadableVersion
 	c.mu.Unlock()
 	if !wanted {
 		return
--- a/control/return_test.go
+++ b/control/return_test.go
@@ -202,3 +202,16 @@
 	gate.Unlock()
 	eventually(t, "the first version is in force", func() bool { return n.Status().Hash == base.Hash })
 }
+
+// Guards against a node that never starts because it could not read a configuration that the store then lost.
+func TestNodeStartsBelowAnUnreadableConfigThatTheStoreLost(t *testing.T) {
+	p, client := startStandIn(t)
+	base := applyCount(t, client, 0, 1)
+	p.Copy()
+	_, err := rollout.Apply(t.Context(), client, []inventory.File{{Name: "inventory.ini", Text: "[later]\n"}}, "operator", base.Version)
+	require.NoError(t, err)
+	n := startNode(t, nodeOptions{id: "a", region: "rn", store: client})
+	eventually(t, "the second version can't be read", func() bool { return n.metrics.Counter("control-texts-unreadable") > 0 })
+	p.Restore()
+	eventually(t, "the first version is in force", func() bool { return n.Status().Hash == base.Hash })
+}
