--- a/tablestore/store.go
+++ b/tablestore/store.go
@@ -34,6 +34,13 @@
 // Age returns the time since the row was written, as measured by the store's clock.
 func (r Row) Age() time.Duration { return time.Duration(r.AgeMillis) * time.Millisecond }
 
+// Mark is a place in the history of a table; its zero value is the beginning.
+type Mark struct {
+	// Era grows when the store comes back from an older copy, after which it gives revisions and versions out again.
+	Era      uint64
+	Revision uint64
+}
+
 // Write is one write of a transaction.
 type Write struct {
 	Key    string
@@ -41,6 +48,8 @@
 	Delete bool
 	// IfVersion, if set, is the version that the row must have. Version 0 means that the row must not exist.
 	IfVersion kernel.Option[uint64]
+	// IfEra, if set, is the era that the store must be in; a store that states no era does not check it.
+	IfEra kernel.Option[uint64]
 }
 
 // Commit is the result of a committed transaction: the new revision of the table and the new version of each written row.
@@ -53,17 +62,18 @@
 type Store interface {
 	// Row returns a row and whether it exists.
 	Row(ctx context.Context, table, key string) (Row, bool, error)
-	// Rows returns the revision of the table and the rows that changed after since, deleted ones included.
-	Rows(ctx context.Context, table string, since uint64) (uint64, []Row, error)
+	// Rows returns the mark of the table and the rows that changed after since, deleted ones included. It returns all rows if
+	// since is not in the table's present history.
+	Rows(ctx context.Context, table string, since Mark) (Mark, []Row, error)
 	// Transact applies all writes or none.
 	Transact(ctx context.Context, table string, writes []Write) (Commit, error)
-	// PutObject stores an object. Storing the same content again has no effect.
-	PutObject(ctx context.Context, name string, data []byte) error
+	// PutObject stores an object and returns the era of the store. Storing the same content again has no effect.
+	PutObject(ctx context.Context, name string, data []byte) (uint64, error)
 	// Object returns an object and whether it exists.
 	Object(ctx context.Context, name string) ([]byte, bool, error)
 }
 
-// ConflictError reports that the version condition of a write did not hold and nothing was written.
+// ConflictError reports that a condition of a write did not hold and nothing was written.
 type ConflictError struct {
 	Table string
 	Key   string
