Refuse an era of the own store that can't be read

The client took a header Store-Era that is no number for no era, without a word: a store that has stated eras would seem to have come back with each such answer. It is an invalid answer now, like other malformed ones, and a write with it has an unknown outcome.

--- a/tablestore/client.go
+++ b/tablestore/client.go
@@ -174,9 +174,13 @@
 	if err := r.http.DoDeadline(req, resp, deadline); err != nil {
 		return response{}, err
 	}
-	era, err := fasthttp.ParseUint(resp.Header.Peek(eraHeader))
-	if err != nil || era > maxEra {
-		era = 0
+	era := 0
+	if header := resp.Header.Peek(eraHeader); len(header) > 0 {
+		var err error
+		if era, err = fasthttp.ParseUint(header); err != nil || era > maxEra {
+			return response{}, &ProtocolError{Request: r.method + " " + r.path,
+				Detail: fmt.Sprintf("the header %s is %.*q, which is no number up to %d", eraHeader, maxQuotedBytes, header, maxEra)}
+		}
 	}
 	return response{status: resp.StatusCode(), era: uint64(era), body: append([]byte(nil), resp.Body()...)}, nil
 }
