Read the table of nodes again until its nodes had time to write

After the store came back from an older copy:

- A node ended when its first list of the table of nodes failed, as when the store turns some nodes away: the error ended all its goroutines.
TestNodeLivesWhenNodesCannotBeReadAfterStoreComesBackOlder: 'the table of nodes is not read'.
- A node that ended while the store was away stayed in the directories of the others for good, since nothing read the table again once the time to write rows had passed.
TestNodeThatEndsWhileStoreIsAwayIsForgotten: never forgotten in 20 s.

Both come from reading the table once, at the first sign of a new era. One goroutine now reads it at once, again after failures, and once more when the nodes had 10 s to write. The era is noted in one place, whichever of feed, write or other node tells of it; a node that starts takes no era for a return. After a lost history the table is listed behind a short pause, and a row that is being written is not written a second time beside that.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -146,12 +146,6 @@
 	d.AdvancePosition(at)
 }
 
-// Forget removes the entry of a node.
-func (d *Directory) Forget(address string) {
-	delete(d.entries, address)
-	delete(d.reported, address)
-}
-
 // MergeReport records the state that a node reported over a connection, which is newer than its row, and reports whether it
 // changed. It ignores nodes without a row.
 func (d *Directory) MergeReport(n Node) bool {
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -124,7 +124,7 @@
 	n.mu.Lock()
 	self := n.selfLocked()
 	entry, known := n.directory.Entry(self.Address)
-	known = known && entry.Era == n.directory.Position().Era
+	known = known && !n.isLostLocked(entry)
 	n.mu.Unlock()
 	if known || self.State != directory.Absent {
 		return false
@@ -253,6 +253,8 @@
 // whether the store holds it. Each write is conditional on the known version of the row, so that a write whose answer was
 // lost and that takes effect late can't overwrite a later one.
 func (n *Node) writeOwnRow(ctx context.Context) bool {
+	n.rowWriters.Add(1)
+	defer n.rowWriters.Add(-1)
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		self := n.selfLocked()
@@ -285,7 +287,7 @@
 // ownRowLocked returns the row of this node in the current era of the store. It returns false and a zero entry if there is none.
 func (n *Node) ownRowLocked() (directory.Entry, bool) {
 	entry, known := n.directory.Entry(n.settings.CallsAddress)
-	if !known || entry.Removed || entry.Era < n.directory.Position().Era {
+	if !known || entry.Removed || n.isLostLocked(entry) {
 		return directory.Entry{}, false
 	}
 	return entry, true
@@ -308,16 +310,8 @@
 		}
 		n.mu.Lock()
 		entry, known := n.directory.Entry(node.Address)
-		lost := known && entry.Era < n.directory.Position().Era
-		if lost {
-			// It has not written its row again since the store lost it.
-			n.directory.Forget(node.Address)
-		}
+		lost := n.isLostLocked(entry)
 		n.mu.Unlock()
-		if lost {
-			n.log.Info("node-forgotten", "node", node.Address, "service", node.Service, "silent", unreachableFor)
-			n.handleDirectoryChange()
-		}
 		if !known || lost || entry.Removed {
 			continue
 		}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -119,10 +119,15 @@
 	quotas     quotas
 	// configWatch and directoryWatch follow the tables of the operators' configuration and of the nodes.
 	configWatch, directoryWatch tableWatch
+	// rowWriters is the number of running calls of writeOwnRow.
+	rowWriters atomic.Int32
 
 	mu sync.Mutex
-	// eraSeen is when this node learned of the store's current era.
-	eraSeen time.Time
+	// era is the latest era of the store that this node knows, eraSeen when it learned that the store had come back in it, and rereading
+	// whether rereadDirectory runs.
+	era       uint64
+	eraSeen   time.Time
+	rereading bool
 	// configText is the encoded configuration in force, as read from the store. It is sent to other nodes.
 	configText   []byte
 	directory    directory.Directory
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -89,6 +89,7 @@
 			if gone || at.Era != w.at.Era {
 				// Versions of another era don't tell which changes this node lacks.
 				n.log.Info("store-history-gone", "table", w.table, "era", w.at.Era, "after", w.at.Version, "store-era", at.Era)
+				sleep(ctx, n.rand.Jitter(minRetryDelay, 0.5))
 				break
 			}
 			w.at.Version = max(w.at.Version, at.Version)
@@ -143,12 +144,8 @@
 	w.answeredAt.Store(now.UnixNano())
 	w.retryDelay = minRetryDelay
 	n.mu.Lock()
-	lostRows := n.recovery.directoryRead && at.Era > n.directory.Position().Era
+	n.noteEraLocked(at.Era)
 	n.mu.Unlock()
-	if lostRows && w != &n.directoryWatch {
-		// The feed of the table of nodes may wait on a connection that is silent.
-		n.group.Go("read-directory", n.readDirectory)
-	}
 	n.metrics.Set("store-era", int64(at.Era))
 	if at.Version > 0 { // An answer without the history that was asked for states no version.
 		n.metrics.Set("store-version", int64(at.Version), w.table)
@@ -235,15 +232,50 @@
 	n.handleDirectoryChange()
 }
 
-// noteEraLocked records when this node learned that the store has come back from an older copy.
+// noteEraLocked records the era of the store. In a later one than before, the store has lost changes, so that the table of nodes is read
+// again now and once its nodes have had the time to write their rows again.
 func (n *Node) noteEraLocked(era uint64) {
-	if known := n.directory.Position(); known != (directory.Position{}) && era > known.Era {
-		n.eraSeen = n.clock.Now()
-		n.log.Info("store-restored", "era", era, "known-era", known.Era, "known-version", known.Version)
-		n.metrics.Add("store-restored", 1)
+	if era <= n.era {
+		return
+	}
+	before := n.era
+	n.era = era
+	if !n.recovery.directoryRead {
+		return
+	}
+	n.log.Info("store-restored", "era", era, "known-era", before, "known-version", n.directory.Position().Version)
+	n.metrics.Add("store-restored", 1)
+	n.eraSeen = n.clock.Now()
+	if !n.rereading {
+		n.rereading = true
+		n.group.Go("reread-directory", n.rereadDirectory)
 	}
 }
 
+// rereadDirectory reads the table of nodes until it was read rewriteTime after the store came back from an older copy. It does not rely
+// on the feed, which may wait on a connection that is silent.
+func (n *Node) rereadDirectory(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := n.readDirectory(ctx); err != nil {
+			n.log.Warn("store-failed", "table", nodesTable, "call", "list", "error", err, "pause", maxRetryDelay)
+			sleep(ctx, n.rand.Jitter(maxRetryDelay, 0.5))
+			continue
+		}
+		n.mu.Lock()
+		remaining := rewriteTime - n.clock.Now().Sub(n.eraSeen)
+		n.rereading = remaining > 0
+		n.mu.Unlock()
+		if remaining <= 0 {
+			break
+		}
+		sleep(ctx, remaining)
+	}
+	return nil
+}
+
+// isLostLocked reports whether a row is of an era before the store came back from an older copy.
+func (n *Node) isLostLocked(e directory.Entry) bool { return e.Era < n.era }
+
 // entriesOf decodes rows of the table of nodes. It skips malformed rows, which another writer may leave, and returns their
 // keys: they name no node to use, and what was known of the node at that key holds. In place of the row of this node it
 // returns an entry without a backend server, whose version allows this node to write its row again.
@@ -310,10 +342,10 @@
 	if known && own.Node.State == directory.Leaving {
 		n.setDepartedLocked(own.Node.Backend)
 	}
-	backend, state := n.tracker.Current()
+	record := n.selfLocked()
 	// Another writer has removed the row of this node or replaced it with another state, or the store has lost it.
-	lost := own.Removed || own.Era < n.directory.Position().Era || own.Node.State != state || own.Node.Backend != backend
-	rewrite := known && state != directory.Absent && lost && !n.stopping.Load()
+	differs := own.Removed || n.isLostLocked(own) || own.Node.State != record.State || own.Node.Backend != record.Backend
+	rewrite := known && record.State != directory.Absent && differs && !n.stopping.Load() && n.rowWriters.Load() == 0
 	count := len(n.directory.Nodes())
 	n.mu.Unlock()
 	n.transport.SetPersistentPeers(peers)
