Store a departure again that was recorded before the node heard its backend server

A deregistration of a backend server that its node had not heard is recorded in the row of the node and acknowledged. When the store came back from a copy without that row, the node did not write it again, since it has no backend server to write of; a restart and a late heartbeat would have put the one that left into use.

Until a node has heard its backend server, its row has the departure that was recorded before.

--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -257,7 +257,7 @@
 	defer n.rowWriters.Add(-1)
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		self := n.selfLocked()
+		self := n.ownRecordLocked()
 		entry, stored := n.ownRowLocked()
 		n.mu.Unlock()
 		if stored && entry.Node == self {
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -342,7 +342,7 @@
 	if known && own.Node.State == directory.Leaving {
 		n.setDepartedLocked(own.Node.Backend)
 	}
-	record := n.selfLocked()
+	record := n.ownRecordLocked()
 	// Another writer has removed the row of this node or replaced it with another state, or the store has lost it.
 	differs := own.Removed || n.isLostLocked(own) || own.Node.State != record.State || own.Node.Backend != record.Backend
 	rewrite := known && record.State != directory.Absent && differs && !n.stopping.Load() && n.rowWriters.Load() == 0
@@ -355,6 +355,19 @@
 	}
 }
 
+// ownRecordLocked returns what the row of this node has to say. Until its backend server was heard, that is a departure recorded before
+// the node started.
+func (n *Node) ownRecordLocked() directory.Node {
+	self := n.selfLocked()
+	departed := n.recovery.recordedDeparture
+	own, _ := n.directory.Entry(self.Address)
+	if self.Backend == (directory.Incarnation{}) && departed != (directory.Incarnation{}) &&
+		(n.isLostLocked(own) || own.Node.Backend.StartMillis <= departed.StartMillis) {
+		self.State, self.Backend = directory.Leaving, departed
+	}
+	return self
+}
+
 // setDepartedLocked applies a recorded departure of the own backend server.
 func (n *Node) setDepartedLocked(b directory.Incarnation) {
 	n.recovery.recordedDeparture = b
