--- a/control/config.go
+++ b/control/config.go
@@ -136,6 +136,7 @@
 }
 
 func (c *Control) poll(ctx context.Context) {
+	held := c.loadedVersion()
 	accepted, ok, err := rollout.Current(ctx, c.store)
 	c.recordStoreResult("poll", err)
 	if err != nil {
@@ -144,7 +145,11 @@
 	c.mu.Lock()
 	c.adopter.SetStoreVersion(accepted.Version)
 	c.storeStatus.ConfigRead = true
-	wanted := ok && c.adopter.IsNewer(accepted.Version) && accepted.Version > c.unreadableVersion
+	if accepted.Version < held && accepted.Version != c.polledVersion {
+		c.log.Warn("config-ahead-of-store", "version", held, "accepted", accepted.Version)
+	}
+	c.polledVersion = accepted.Version
+	wanted := ok && c.adopter.IsNewer(accepted.Version) && accepted.Version != c.unreadableVersion
 	c.mu.Unlock()
 	if !wanted {
 		return
@@ -233,9 +238,9 @@
 	return c.view.Self().ID
 }
 
-// listLoop reads the members table, first all rows and then only those changed since the last revision.
+// listLoop reads the members table, first all rows and then only those changed since the last listing.
 func (c *Control) listLoop(ctx context.Context) error {
-	var since uint64
+	var since tablestore.Mark
 	var lastListed time.Time
 	wait := c.options.Rand.Jitter(c.tuning.seedRetryDelay, 1)
 	for sleep(ctx, wait) {
@@ -243,21 +248,19 @@
 		if !c.listDue(lastListed) {
 			continue
 		}
-		revision, rows, err := c.store.Rows(ctx, tablestore.MembersTable, since)
+		mark, rows, err := c.store.Rows(ctx, tablestore.MembersTable, since)
 		c.recordStoreResult("list", err)
-		switch {
-		case err != nil:
-		case revision < since:
-			// A lower revision means that the table was recreated.
-			since = 0
-		default:
-			if since == 0 {
-				c.deleteExpired(ctx, rows)
-			}
-			since = revision
-			lastListed = c.now()
-			c.mergeRows(rows)
+		if err != nil {
+			continue
+		}
+		if since == (tablestore.Mark{}) {
+			c.deleteExpired(ctx, rows)
+		} else if mark.Era != since.Era {
+			c.log.Warn("store-restored", "era", mark.Era, "revision", mark.Revision, "revision-before", since.Revision)
 		}
+		since = mark
+		lastListed = c.now()
+		c.mergeRows(rows)
 	}
 	return nil
 }
--- a/rollout/apply_test.go
+++ b/rollout/apply_test.go
@@ -68,8 +68,8 @@
 	return row, ok, nil
 }
 
-func (s *fakeStore) Rows(context.Context, string, uint64) (uint64, []tablestore.Row, error) {
-	return 0, nil, errors.ErrUnsupported
+func (s *fakeStore) Rows(context.Context, string, tablestore.Mark) (tablestore.Mark, []tablestore.Row, error) {
+	return tablestore.Mark{}, nil, errors.ErrUnsupported
 }
 
 func (s *fakeStore) commit(writes []tablestore.Write) error {
@@ -104,12 +104,12 @@
 	return tablestore.Commit{}, s.commit(writes)
 }
 
-func (s *fakeStore) PutObject(_ context.Context, name string, data []byte) error {
+func (s *fakeStore) PutObject(_ context.Context, name string, data []byte) (uint64, error) {
 	if popFault(&s.putFaults) == down {
-		return errUnavailable
+		return 0, errUnavailable
 	}
 	s.objects[name] = data
-	return nil
+	return 0, nil
 }
 
 func (s *fakeStore) Object(_ context.Context, name string) ([]byte, bool, error) {
--- a/tablestore/client_test.go
+++ b/tablestore/client_test.go
@@ -116,7 +116,8 @@
 			require.Equal(t, c.read, errorKind(err), "read: %v", err)
 			_, err = store.Transact(t.Context(), "config", []tablestore.Write{{Key: "current", Value: "x"}})
 			require.Equal(t, c.write, errorKind(err), "write: %v", err)
-			require.Equal(t, c.put, errorKind(store.PutObject(t.Context(), "abc", []byte("x"))))
+			_, err = store.PutObject(t.Context(), "abc", []byte("x"))
+			require.Equal(t, c.put, errorKind(err))
 		})
 	}
 }
@@ -139,23 +140,24 @@
 	require.Equal(t, "GET /tables/config/rows/current ", got)
 
 	reply = `{"revision":4,"rows":[{"key":"a","deleted":true}]}`
-	revision, rows, err := store.Rows(t.Context(), "members", 2)
+	mark, rows, err := store.Rows(t.Context(), "members", tablestore.Mark{Revision: 2})
 	require.NoError(t, err)
-	require.Equal(t, uint64(4), revision)
+	require.Equal(t, tablestore.Mark{Revision: 4}, mark)
 	require.Equal(t, []tablestore.Row{{Key: "a", Deleted: true}}, rows)
 	require.Equal(t, "GET /tables/members/rows?since=2 ", got)
 
 	reply = `{"revision":5,"versions":{"a":1}}`
 	commit, err := store.Transact(t.Context(), "members", []tablestore.Write{
-		{Key: "a", Value: "v", IfVersion: kernel.Some(uint64(0))}, {Key: "b", Delete: true},
+		{Key: "a", Value: "v", IfVersion: kernel.Some(uint64(0))}, {Key: "b", Delete: true, IfEra: kernel.Some(uint64(3))},
 	})
 	require.NoError(t, err)
 	require.Equal(t, tablestore.Commit{Revision: 5, Versions: map[string]uint64{"a": 1}}, commit)
 	require.Equal(t, `POST /tables/members/transactions `+
-		`{"writes":[{"key":"a","value":"v","if-version":0},{"key":"b","delete":true}]}`, got)
+		`{"writes":[{"key":"a","value":"v","if-version":0},{"key":"b","if-era":3,"delete":true}]}`, got)
 
 	reply = "text"
-	require.NoError(t, store.PutObject(t.Context(), "abc", []byte("x")))
+	_, err = store.PutObject(t.Context(), "abc", []byte("x"))
+	require.NoError(t, err)
 	require.Equal(t, "PUT /objects/abc x", got)
 	data, ok, err := store.Object(t.Context(), "abc")
 	require.NoError(t, err)
@@ -196,14 +198,48 @@
 	}
 }
 
+// Guards against rows that are missing from a listing after a mark that isn't in the table's present history.
+func TestListingStartsOverInAnotherHistory(t *testing.T) {
+	cases := []struct {
+		name, era string
+		revision  uint64
+		since     tablestore.Mark
+		want      []string
+	}{
+		{"the same history", "3", 7, tablestore.Mark{Era: 3, Revision: 5}, []string{"5"}},
+		{"a later era", "4", 7, tablestore.Mark{Era: 3, Revision: 5}, []string{"5", "0"}},
+		{"the first era that is stated", "1", 7, tablestore.Mark{Revision: 5}, []string{"5", "0"}},
+		{"no era, a lower revision", "", 4, tablestore.Mark{Revision: 5}, []string{"5", "0"}},
+		{"no era, a higher revision", "", 7, tablestore.Mark{Revision: 5}, []string{"5"}},
+		{"an era that can't be read", "x", 7, tablestore.Mark{Revision: 5}, []string{"5"}},
+		{"the beginning", "4", 7, tablestore.Mark{}, []string{"0"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var asked []string
+			store := newClient(t, startServer(t, func(ctx *fasthttp.RequestCtx) {
+				asked = append(asked, string(ctx.QueryArgs().Peek("since")))
+				if c.era != "" {
+					ctx.Response.Header.Set("Store-Era", c.era)
+				}
+				ctx.SetBodyString(fmt.Sprintf(`{"revision":%d}`, c.revision))
+			}), 0)
+			mark, _, err := store.Rows(t.Context(), "members", c.since)
+			require.NoError(t, err)
+			require.Equal(t, c.revision, mark.Revision)
+			require.Equal(t, c.want, asked)
+		})
+	}
+}
+
 // Guards against a list that can't be read because of one odd row, which another writer may leave.
 func TestOddRowDoesNotHideTheOthers(t *testing.T) {
 	store := newClient(t, startServer(t, respondWith(200, `{"revision":4,"rows":[
 		{"key":"a","value":"v"},{"key":"odd","version":1e999},7,{"key":{"deep":[[]]}},{"key":"b","version":18446744073709551616},
 		{"key":"c","value":"w"}]}`)), 0)
-	revision, rows, err := store.Rows(t.Context(), "members", 0)
+	mark, rows, err := store.Rows(t.Context(), "members", tablestore.Mark{})
 	require.NoError(t, err)
-	require.Equal(t, uint64(4), revision)
+	require.Equal(t, tablestore.Mark{Revision: 4}, mark)
 	var readable, odd []string
 	for _, row := range rows {
 		if row.Err != nil {
@@ -237,11 +273,11 @@
 
 	port := ln.Addr().(*net.TCPAddr).Port
 	for range 2 {
-		revision, _, err := newClient(t, fmt.Sprintf("https://127.0.0.1:%d", port), 0).Rows(t.Context(), "t", 0)
+		mark, _, err := newClient(t, fmt.Sprintf("https://127.0.0.1:%d", port), 0).Rows(t.Context(), "t", tablestore.Mark{})
 		require.NoError(t, err)
-		require.EqualValues(t, 7, revision)
+		require.EqualValues(t, 7, mark.Revision)
 	}
-	_, _, err = newClient(t, fmt.Sprintf("https://localhost:%d", port), 0).Rows(t.Context(), "t", 0)
+	_, _, err = newClient(t, fmt.Sprintf("https://localhost:%d", port), 0).Rows(t.Context(), "t", tablestore.Mark{})
 	var otherName x509.HostnameError
 	require.ErrorAs(t, err, &otherName, "the certificate is for an address")
 }
@@ -265,10 +301,11 @@
 			}), 0)
 			_, err := c.Transact(t.Context(), "t", []tablestore.Write{{Key: "k", Value: "v"}})
 			require.Equal(t, "unknown", errorKind(err))
-			require.Equal(t, "unknown", errorKind(c.PutObject(t.Context(), "o", []byte("text"))))
+			_, err = c.PutObject(t.Context(), "o", []byte("text"))
+			require.Equal(t, "unknown", errorKind(err))
 			_, _, err = c.Row(t.Context(), "t", "k")
 			require.Equal(t, "unavailable", errorKind(err))
-			_, _, err = c.Rows(t.Context(), "t", 0)
+			_, _, err = c.Rows(t.Context(), "t", tablestore.Mark{})
 			require.Equal(t, "unavailable", errorKind(err))
 			_, _, err = c.Object(t.Context(), "o")
 			require.Equal(t, "unavailable", errorKind(err))
