Take the age of the store's last answer from the steady clock

The gauge used the time of day, which can step. One field says now which table is asked for at short intervals, in place of a comparison of watches.

--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -51,6 +51,8 @@
 	table string
 	// batchDelay is the longest pause after a change.
 	batchDelay time.Duration
+	// probed is set if one node of each availability zone asks at short intervals.
+	probed bool
 	// onSnapshot gets all rows of the table, and onChange those that have changed, with the position of the store.
 	onSnapshot, onChange func([]Row, directory.Position)
 
@@ -59,15 +61,14 @@
 	// retryDelay is the next pause after a failed call, and failedSince the time of the first of the last failures in a row.
 	retryDelay  time.Duration
 	failedSince time.Time
-	// answeredAt is when the store last answered a call, or when the node started, in Unix nanoseconds.
-	answeredAt atomic.Int64
+	// answered is how long after the start of the node the store last answered a call, in nanoseconds.
+	answered atomic.Int64
 }
 
 // watchTable lists a table and then follows its change feed until ctx ends. It lists the table again when the feed no longer
 // holds the changes since the last read, or is of another era.
 func (n *Node) watchTable(ctx context.Context, w *tableWatch) error {
 	w.retryDelay = minRetryDelay
-	w.answeredAt.Store(n.clock.Now().UnixNano())
 	for ctx.Err() == nil {
 		rows, at, err := n.store.List(ctx, w.table)
 		if err != nil {
@@ -110,7 +111,7 @@
 	case !w.failedSince.IsZero():
 		// The store may have come back in another era, and only an answer tells.
 		wait = 0
-	case w == &n.configWatch && n.isFirstInZone():
+	case w.probed && n.isFirstInZone():
 		wait = n.rand.Jitter(probeTimeout, 0.5)
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, wait+probeMargin)
@@ -141,7 +142,7 @@
 // storeAnswered records an answer of the store with its position.
 func (n *Node) storeAnswered(w *tableWatch, call string, at directory.Position) {
 	now := n.clock.Now()
-	w.answeredAt.Store(now.UnixNano())
+	w.answered.Store(int64(now.Sub(n.recovery.started)))
 	w.retryDelay = minRetryDelay
 	n.mu.Lock()
 	n.noteEraLocked(at.Era)
@@ -160,12 +161,10 @@
 
 // reportStore updates the gauges of how long the store has not answered.
 func (n *Node) reportStore() {
-	now := n.clock.Now()
-	for _, w := range []*tableWatch{&n.configWatch, &n.directoryWatch} {
-		if answered := w.answeredAt.Load(); answered > 0 {
-			n.metrics.Set("store-answer-age-ms", now.Sub(time.Unix(0, answered)).Milliseconds(), w.table)
-		}
-	}
+	table, _ := n.deployment.ConfigRow()
+	uptime := n.clock.Now().Sub(n.recovery.started)
+	n.metrics.Set("store-answer-age-ms", (uptime - time.Duration(n.configWatch.answered.Load())).Milliseconds(), table)
+	n.metrics.Set("store-answer-age-ms", (uptime - time.Duration(n.directoryWatch.answered.Load())).Milliseconds(), nodesTable)
 }
 
 // sleep waits for a duration or until ctx ends.
@@ -196,8 +195,9 @@
 			}
 		}
 	}
-	n.configWatch.table, n.configWatch.onSnapshot, n.configWatch.onChange = table, applyRows, applyRows
-	return n.watchTable(ctx, &n.configWatch)
+	w := &n.configWatch
+	w.table, w.probed, w.onSnapshot, w.onChange = table, true, applyRows, applyRows
+	return n.watchTable(ctx, w)
 }
 
 // syncDirectory watches the table of nodes in the store and updates the directory.
